--- /dev/null
+++ b/modules/messages/messages.h
@@ -0,0 +1,7 @@
+/**
+ * @file
+ * Public parts of the module messages: node-to-node messages, their codecs and their authentication.
+ */
+#pragma once
+
+#include "messages/authentication/messageauthenticator.h"
