Add the data path: messages, http, peer, metrics, node and the upstream stand-in

Callers' requests are read strictly, forwarded over authenticated links between nodes and answered completely or refused with a truthful run state. Routes, keys and upstreams come from a settings file until the configuration and membership modules are merged. POCO's message parser isn't used: it accepts bare LF, folded lines and repeated framing headers, and decodes RFC 2047 words in header values.

--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/cancellation.h"
 #include "core/clock.h"
 #include "core/enumtable.h"
 #include "core/error.h"
--- /dev/null
+++ b/modules/http/reading/bytestream.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/enumtable.h"
+
+#include <cstddef>
+#include <Poco/Net/StreamSocket.h>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace Pimentohollow
+{
+
+/** Why bytes could not be read. */
+enum class ReadFault {
+    Closed, ///< the other side closed before the first byte
+    Truncated, ///< the other side closed, or the connection failed, in the middle
+    Timeout,
+    TooLarge,
+    Malformed,
+};
+
+inline constexpr auto ReadFaultNames = makeEnumTable<ReadFault>({
+    { ReadFault::Closed, "connection closed" },
+    { ReadFault::Truncated, "message truncated" },
+    { ReadFault::Timeout, "time limit exceeded" },
+    { ReadFault::TooLarge, "message too large" },
+    { ReadFault::Malformed, "message malformed" },
+});
+
+template <typename T>
+using ReadResult = tl::expected<T, ReadFault>;
+
+/** Waits until @p fd is readable; false at the deadline. */
+bool waitReadable(int fd, TimePoint deadline);
+
+/** True if @p fd has bytes to read or was closed by the other side. */
+bool readableNow(int fd);
+
+/** Buffered reader of HTTP messages from a plain or TLS socket. Every wait ends at the given deadline. */
+class ByteStream
+{
+public:
+    explicit ByteStream(const Poco::Net::StreamSocket &socket);
+
+    /** Waits for the first byte of a message. */
+    ReadResult<void> waitForData(TimePoint deadline);
+
+    /**
+     * Reads to the first empty line, inclusive. A CR without LF or a LF without CR is malformed as soon as it is seen,
+     * because other parsers take either for a line end.
+     */
+    ReadResult<std::string> readHead(std::size_t maximumBytes, TimePoint deadline);
+
+    /** Reads one line and returns it without its CRLF. */
+    ReadResult<std::string> readLine(std::size_t maximumBytes, TimePoint deadline);
+
+    /** Appends exactly @p count bytes to @p out; memory grows with the bytes received, not with the announced count. */
+    ReadResult<void> readExactly(std::string &out, std::size_t count, TimePoint deadline);
+
+    /** True if bytes were received that no read has taken yet. */
+    bool hasBufferedData() const;
+
+private:
+    ReadResult<void> fill(TimePoint deadline);
+    std::string takeBuffered(std::size_t count);
+
+    Poco::Net::StreamSocket m_socket;
+    std::string m_buffer;
+    std::size_t m_position = 0;
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/http/reading/requestreader.cpp
@@ -0,0 +1,102 @@
+#include "http/reading/requestreader.h"
+
+#include "http/reading/bodyreader.h"
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+constexpr std::uint16_t BadRequest = 400;
+constexpr std::uint16_t RequestTimeout = 408;
+constexpr std::uint16_t ContentTooLarge = 413;
+constexpr std::uint16_t ExpectationFailed = 417;
+constexpr std::uint16_t HeadersTooLarge = 431;
+
+RequestFault faultOf(ReadFault fault, std::string_view part, std::uint16_t tooLarge)
+{
+    std::string detail = std::string(part) + ": " + std::string(ReadFaultNames.name(fault));
+    switch (fault) {
+    case ReadFault::Closed:
+    case ReadFault::Truncated:
+        return { 0, std::move(detail) };
+    case ReadFault::Timeout:
+        return { RequestTimeout, std::move(detail) };
+    case ReadFault::TooLarge:
+        return { tooLarge, std::move(detail) };
+    case ReadFault::Malformed:
+        break;
+    }
+    return { BadRequest, std::move(detail) };
+}
+
+bool wantsKeepAlive(const RequestHead &head)
+{
+    if (headerHasToken(head.headers, "Connection", "close")) {
+        return false;
+    }
+    return head.minorVersion == 1 || headerHasToken(head.headers, "Connection", "keep-alive");
+}
+
+} // namespace
+
+RequestReader::RequestReader(ByteStream &stream, const RequestLimits &limits, std::function<void()> sendContinue)
+    : m_stream(stream)
+    , m_limits(limits)
+    , m_sendContinue(std::move(sendContinue))
+{
+}
+
+tl::expected<ReceivedRequest, RequestFault> RequestReader::read()
+{
+    auto head = readHead();
+    if (!head) {
+        return tl::unexpected(head.error());
+    }
+    auto body = readRequestBody(*head);
+    if (!body) {
+        return tl::unexpected(body.error());
+    }
+    const bool keepAlive = wantsKeepAlive(*head);
+    return ReceivedRequest{ { std::move(head->method), std::move(head->target), std::move(head->headers), std::move(*body) }, keepAlive };
+}
+
+tl::expected<RequestHead, RequestFault> RequestReader::readHead()
+{
+    const auto text = m_stream.readHead(m_limits.maximumHeadBytes, std::chrono::steady_clock::now() + m_limits.headTime);
+    if (!text) {
+        return tl::unexpected(faultOf(text.error(), "request head", HeadersTooLarge));
+    }
+    auto head = parseRequestHead(*text);
+    if (!head) {
+        return tl::unexpected(RequestFault{ BadRequest, head.error() });
+    }
+    return std::move(*head);
+}
+
+tl::expected<std::string, RequestFault> RequestReader::readRequestBody(const RequestHead &head)
+{
+    const auto framing = bodyFraming(head.headers, head.minorVersion);
+    if (!framing) {
+        return tl::unexpected(RequestFault{ BadRequest, framing.error() });
+    }
+    if (framing->kind == BodyFraming::Kind::Length && framing->length > m_limits.maximumBodyBytes) {
+        return tl::unexpected(RequestFault{ ContentTooLarge, "the body exceeds the accepted size" });
+    }
+    if (const auto *expect = findHeader(head.headers, "Expect")) {
+        if (!headerNameEquals(*expect, "100-continue")) {
+            return tl::unexpected(RequestFault{ ExpectationFailed, "unsupported expectation" });
+        }
+        if (head.minorVersion == 1 && framing->kind != BodyFraming::Kind::None) {
+            m_sendContinue();
+        }
+    }
+    auto body = readBody(m_stream, *framing, m_limits.maximumBodyBytes, std::chrono::steady_clock::now() + m_limits.bodyTime);
+    if (!body) {
+        return tl::unexpected(faultOf(body.error(), "request body", ContentTooLarge));
+    }
+    return std::move(*body);
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/http/server/callerconnection.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "http/reading/requestreader.h"
+#include "http/server/callerserver.h"
+
+#include <Poco/Net/TCPServerConnection.h>
+
+namespace Pimentohollow
+{
+
+/** What the connections of a listener share. */
+struct ConnectionEnvironment {
+    const ListenerOptions &options;
+    ConnectionRegistry &registry;
+    RequestHandler &handler;
+    DisconnectWatcher &watcher;
+};
+
+/** Serves the requests of one caller connection, one after the other. */
+class CallerConnection : public Poco::Net::TCPServerConnection
+{
+public:
+    CallerConnection(const Poco::Net::StreamSocket &socket, const ConnectionEnvironment &environment);
+
+    void run() override;
+
+private:
+    void serve(ConnectionRegistry::Entry &entry);
+    /** Serves one request; false if the connection has to be closed. */
+    bool serveRequest(ByteStream &stream);
+    HttpResponseMessage answer(HttpRequestMessage request, Cancellation &cancellation);
+    void sendFault(const RequestFault &fault);
+
+    ConnectionEnvironment m_environment;
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/http/server/connectionregistry.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+namespace Pimentohollow
+{
+
+/** The open connections of a listener, so that a graceful shutdown can end the idle ones and wait for the others. */
+class ConnectionRegistry
+{
+public:
+    /** Keeps a connection registered while it exists. */
+    class Entry
+    {
+    public:
+        Entry(ConnectionRegistry &owner, int fd);
+        ~Entry();
+        Entry(const Entry &) = delete;
+        Entry &operator=(const Entry &) = delete;
+
+        /** Whether the connection waits for its next request. */
+        void setIdle(bool idle);
+
+    private:
+        ConnectionRegistry &m_owner;
+        int m_fd;
+    };
+
+    /** Makes every connection close after its current or next answer. */
+    void beginDrain();
+
+    bool draining() const;
+
+    /** Wakes the connections that wait for a request. A request already received is still read and answered. */
+    void closeIdle();
+
+    /** Waits until no connection is left; false at the deadline. */
+    bool waitUntilEmpty(TimePoint deadline);
+
+    std::size_t count() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<int, bool> m_idleByFd;
+    bool m_draining = false;
+    bool m_closingIdle = false;
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/http/server/disconnectwatcher.cpp
@@ -0,0 +1,99 @@
+#include "http/server/disconnectwatcher.h"
+
+#include <poll.h>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+/** Longest time until a connection watched since the last poll is included; also the delay of a cancellation. */
+constexpr int PollMillis = 20;
+
+} // namespace
+
+DisconnectWatcher::Watch::Watch(DisconnectWatcher &owner, int fd, Cancellation &cancellation)
+    : m_owner(owner)
+{
+    const std::lock_guard lock(m_owner.m_mutex);
+    m_id = m_owner.m_nextId++;
+    m_owner.m_entries.emplace(m_id, Entry{ fd, &cancellation });
+    if (m_owner.m_entries.size() == 1) {
+        m_owner.m_changed.notify_all();
+    }
+}
+
+DisconnectWatcher::Watch::~Watch()
+{
+    const std::lock_guard lock(m_owner.m_mutex);
+    m_owner.m_entries.erase(m_id);
+}
+
+DisconnectWatcher::DisconnectWatcher()
+    : m_thread([this] {
+        run();
+    })
+{
+}
+
+DisconnectWatcher::~DisconnectWatcher()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    m_thread.join();
+}
+
+void DisconnectWatcher::run()
+{
+    while (true) {
+        std::map<std::uint64_t, Entry> entries;
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait(lock, [this] {
+                return m_stopping || !m_entries.empty();
+            });
+            if (m_stopping) {
+                return;
+            }
+            entries = m_entries;
+        }
+        pollOnce(entries);
+    }
+}
+
+void DisconnectWatcher::pollOnce(const std::map<std::uint64_t, Entry> &entries)
+{
+    std::vector<pollfd> fds;
+    std::vector<std::uint64_t> ids;
+    for (const auto &[id, entry] : entries) {
+        fds.push_back({ entry.fd, POLLRDHUP, 0 });
+        ids.push_back(id);
+    }
+    if (::poll(fds.data(), fds.size(), PollMillis) <= 0) {
+        return;
+    }
+    for (std::size_t n = 0; n < fds.size(); ++n) {
+        if ((fds[n].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+            report(ids[n]);
+        }
+    }
+}
+
+void DisconnectWatcher::report(std::uint64_t id)
+{
+    // Under the lock, so that the Cancellation can't be destroyed meanwhile: its Watch is destroyed first.
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end()) {
+        return; // the request ended; the descriptor may already belong to another connection
+    }
+    it->second.cancellation->cancel();
+    m_entries.erase(it);
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/http/upstream/upstreamclient.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/cancellation.h"
+#include "core/clock.h"
+#include "core/refusal.h"
+#include "http/reading/bytestream.h"
+#include "messages/call/httpmessages.h"
+
+#include <mutex>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+struct UpstreamLimits {
+    std::size_t maximumHeadBytes = 64 * 1024;
+    std::size_t maximumBodyBytes = 1024 * 1024;
+    Duration connectTime = std::chrono::seconds(1);
+    /** Idle connections older than this aren't used again; below the usual keep-alive time of servers. */
+    Duration maximumIdleTime = std::chrono::seconds(4);
+    std::size_t maximumIdleConnections = 64;
+};
+
+/**
+ * Sends requests to one upstream over keep-alive connections and returns its answer complete or not at all.
+ *
+ * A request that isn't idempotent gets a new connection: an upstream may close an idle one at the moment it is
+ * used, and the request could then not be repeated. No request is ever sent twice here. Thread-safe.
+ */
+class UpstreamClient
+{
+public:
+    UpstreamClient(const Poco::Net::SocketAddress &address, const UpstreamLimits &limits);
+
+    /** The complete answer, or a refusal that says whether a byte of the request may have reached the upstream. */
+    tl::expected<HttpResponseMessage, Refusal>
+    send(const HttpRequestMessage &request, bool idempotent, TimePoint deadline, Cancellation &cancellation);
+
+    const Poco::Net::SocketAddress &address() const;
+
+private:
+    struct IdleConnection {
+        Poco::Net::StreamSocket socket;
+        TimePoint since;
+    };
+
+    tl::expected<Poco::Net::StreamSocket, Refusal> open(TimePoint deadline);
+    std::optional<Poco::Net::StreamSocket> takeIdle();
+    void keep(const Poco::Net::StreamSocket &socket);
+
+    Poco::Net::SocketAddress m_address;
+    UpstreamLimits m_limits;
+    std::mutex m_mutex;
+    std::vector<IdleConnection> m_idle;
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/http/upstream/upstreamexchange.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "http/reading/bytestream.h"
+#include "http/upstream/upstreamclient.h"
+
+namespace Pimentohollow
+{
+
+struct UpstreamAnswer {
+    HttpResponseMessage message;
+    /** The connection may carry another request. */
+    bool reusable = false;
+};
+
+/** Sends one request on an open connection and reads the answer. */
+ReadResult<UpstreamAnswer> exchange(Poco::Net::StreamSocket &socket,
+                                    const HttpRequestMessage &request,
+                                    const UpstreamLimits &limits,
+                                    const std::string &host,
+                                    TimePoint deadline);
+
+} // namespace Pimentohollow
--- a/modules/messages/authentication/messageauthenticator.cpp
+++ b/modules/messages/authentication/messageauthenticator.cpp
@@ -26,11 +26,12 @@
 
 bool MessageAuthenticator::verify(std::string_view data, std::string_view tag) const
 {
-    if (tag.size() != TagBytes) {
-        return false;
-    }
-    const Tag expected = this->tag(data);
-    return CRYPTO_memcmp(expected.data(), tag.data(), TagBytes) == 0;
+    return equal(this->tag(data), tag);
+}
+
+bool MessageAuthenticator::equal(const Tag &computed, std::string_view received)
+{
+    return received.size() == TagBytes && CRYPTO_memcmp(computed.data(), received.data(), TagBytes) == 0;
 }
 
 } // namespace Pimentohollow
--- a/modules/messages/authentication/messageauthenticator.h
+++ b/modules/messages/authentication/messageauthenticator.h
@@ -24,6 +24,9 @@
     /** Compares in constant time; false for a tag of another length. */
     bool verify(std::string_view data, std::string_view tag) const;
 
+    /** Compares a computed tag with a received one in constant time. */
+    static bool equal(const Tag &computed, std::string_view received);
+
 private:
     std::string m_secret;
 };
--- a/modules/messages/messages.h
+++ b/modules/messages/messages.h
@@ -5,3 +5,8 @@
 #pragma once
 
 #include "messages/authentication/messageauthenticator.h"
+#include "messages/call/callmessages.h"
+#include "messages/call/httpmessages.h"
+#include "messages/call/linkmessages.h"
+#include "messages/call/peermessage.h"
+#include "messages/codec/framecodec.h"
--- /dev/null
+++ b/modules/node/pipeline/servingpipeline.cpp
@@ -0,0 +1,84 @@
+#include "node/pipeline/servingpipeline.h"
+
+#include "peer/channel/messagechannel.h"
+
+#include <fmt/format.h>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+constexpr std::size_t RequestIdBytes = 16;
+
+CallResponse refused(const CallRequest &request, RefusalReason reason, std::string detail)
+{
+    return { request.callId, Refusal{ reason, RunState::NotRun, {}, std::move(detail) }, request.retriesLeft, std::nullopt };
+}
+
+RequestContext contextOf(const CallRequest &request, TimePoint deadline)
+{
+    return { request.requestId,  request.account, request.service,     request.route, request.priority,
+             request.idempotent, deadline,        request.retriesLeft, request.depth };
+}
+
+} // namespace
+
+ServingPipeline::ServingPipeline(const Clock &clock, LocalUpstream &upstream, InFlightTable &inFlight, MetricRegistry &metrics)
+    : m_clock(clock)
+    , m_upstream(upstream)
+    , m_inFlight(inFlight)
+    , m_metrics(metrics)
+    , m_upstreamTime(metrics.histogram("pimentohollow_upstream_seconds"))
+{
+    metrics.gauge("pimentohollow_in_flight", [&inFlight] {
+        return static_cast<double>(inFlight.count());
+    });
+}
+
+CallResponse ServingPipeline::handle(CallRequest request, TimePoint deadline, Cancellation &cancellation)
+{
+    if (m_draining) {
+        return refused(request, RefusalReason::Draining, "the serving node is shutting down");
+    }
+    return serveLocally(std::move(request), deadline, cancellation);
+}
+
+void ServingPipeline::beginDrain()
+{
+    m_draining = true;
+}
+
+CallResponse ServingPipeline::serveLocally(CallRequest request, TimePoint deadline, Cancellation &cancellation)
+{
+    const auto client = m_upstream.clientFor(request.service);
+    if (!client) {
+        return refused(request, RefusalReason::NoUpstream, "no upstream of the service takes work here");
+    }
+    const std::string id = randomHex(RequestIdBytes);
+    const std::string traceId = traceIdOf(findHeader(request.request.headers, "traceparent"));
+    InFlightTable::Entry entry(m_inFlight, id, std::make_shared<InFlightRequest>(contextOf(request, deadline), traceId));
+    setHeader(request.request.headers, RequestIdHeader, id);
+    CallResult result = runAtUpstream(*client, request, entry, cancellation);
+    // Taken, not read, so that a child call that arrives now can't spend them a second time.
+    return { request.callId, std::move(result), entry.request().takeRetries(), std::nullopt };
+}
+
+CallResult
+ServingPipeline::runAtUpstream(UpstreamClient &client, CallRequest &request, InFlightTable::Entry &entry, Cancellation &cancellation)
+{
+    const TimePoint begin = m_clock.now();
+    const TimePoint deadline = entry.request().context().deadline;
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline - begin).count();
+    setHeader(request.request.headers, TimeLeftHeader, fmt::format("{}", left));
+    auto answer = client.send(request.request, request.idempotent, deadline, cancellation);
+    m_upstreamTime.record(m_clock.now() - begin);
+    if (!answer) {
+        m_metrics.counter("pimentohollow_upstream_failures_total", { { "reason", RefusalReasonNames.name(answer.error().reason) } }).add();
+        return std::move(answer.error());
+    }
+    return std::move(*answer);
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/node/pipeline/servingpipeline.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "metrics/metricregistry.h"
+#include "node/chain/inflighttable.h"
+#include "node/upstream/localupstream.h"
+#include "peer/server/callhandler.h"
+
+#include <atomic>
+
+namespace Pimentohollow
+{
+
+/** Header by which an upstream ties its child calls to the request it is running. */
+inline constexpr std::string_view RequestIdHeader = "Pimentohollow-Request-Id";
+/** Header that tells an upstream the time left, in milliseconds. */
+inline constexpr std::string_view TimeLeftHeader = "Pimentohollow-Time-Left-Ms";
+
+/** Runs calls at the upstream beside this node. */
+class ServingPipeline : public CallHandler
+{
+public:
+    ServingPipeline(const Clock &clock, LocalUpstream &upstream, InFlightTable &inFlight, MetricRegistry &metrics);
+
+    CallResponse handle(CallRequest request, TimePoint deadline, Cancellation &cancellation) override;
+
+    /** Refuses calls of other nodes from now on; calls of this node are still served. */
+    void beginDrain();
+
+    /** Serves a call that came in on this node itself. */
+    CallResponse serveLocally(CallRequest request, TimePoint deadline, Cancellation &cancellation);
+
+private:
+    CallResult runAtUpstream(UpstreamClient &client, CallRequest &request, InFlightTable::Entry &entry, Cancellation &cancellation);
+
+    const Clock &m_clock;
+    LocalUpstream &m_upstream;
+    InFlightTable &m_inFlight;
+    MetricRegistry &m_metrics;
+    LatencyHistogram &m_upstreamTime;
+    std::atomic<bool> m_draining{ false };
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/node/settings/staticsources.cpp
@@ -0,0 +1,65 @@
+#include "node/settings/staticsources.h"
+
+#include <algorithm>
+
+namespace Pimentohollow
+{
+
+StaticRoutes::StaticRoutes(std::vector<StaticRoute> routes)
+    : m_routes(std::move(routes))
+{
+}
+
+std::optional<RouteMatch> StaticRoutes::match(std::string_view method, std::string_view path) const
+{
+    const StaticRoute *best = nullptr;
+    for (const auto &it : m_routes) {
+        const bool matches = path.starts_with(it.prefix) && (it.method.empty() || it.method == method);
+        if (matches && (best == nullptr || it.prefix.size() > best->prefix.size())) {
+            best = &it;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->match);
+}
+
+StaticKeys::StaticKeys(std::map<std::string, AccountName> accountsByKey)
+    : m_accountsByKey(std::move(accountsByKey))
+{
+}
+
+std::optional<AccountName> StaticKeys::accountOf(std::string_view key) const
+{
+    const auto it = m_accountsByKey.find(std::string(key));
+    return it == m_accountsByKey.end() ? std::nullopt : std::optional(it->second);
+}
+
+StaticUpstreams::StaticUpstreams(std::vector<StaticUpstream> upstreams)
+    : m_upstreams(std::move(upstreams))
+{
+}
+
+std::optional<UpstreamTarget> StaticUpstreams::choose(const ServiceName &service, const std::vector<NodeName> &tried)
+{
+    const std::size_t start = m_next++;
+    std::optional<UpstreamTarget> alreadyTried;
+    for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
+        const StaticUpstream &it = m_upstreams[(start + n) % m_upstreams.size()];
+        if (it.service != service) {
+            continue;
+        }
+        if (std::find(tried.begin(), tried.end(), it.target.node) == tried.end()) {
+            return it.target;
+        }
+        alreadyTried = it.target;
+    }
+    return alreadyTried;
+}
+
+void StaticUpstreams::finished(const ServiceName & /*service*/,
+                               const UpstreamTarget & /*target*/,
+                               const CallResponse & /*response*/,
+                               Duration /*took*/)
+{
+}
+
+} // namespace Pimentohollow
