--- a/cmake/PimentohollowModule.cmake
+++ b/cmake/PimentohollowModule.cmake
@@ -31,7 +31,8 @@
     endif()
 endfunction()
 
-# Adds the test program <name>_tests from tests/*.cpp of the current folder and registers it with CTest.
+# Adds the test program <name>_tests from tests/*.cpp of the current folder and registers each of its tests with
+# CTest as <name>.<suite>.<test>, so that KNOWN-RED.txt can name a single one.
 # RC_PARAMS fixes the seed of the property tests, so that every run gives the same verdict.
 function(pimentohollow_add_tests name)
     cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
@@ -42,8 +43,8 @@
     add_executable(${name}_tests ${sources})
     target_link_libraries(${name}_tests PRIVATE ${arg_LINK} ${RAPIDCHECK_LIBRARY} GTest::gmock GTest::gtest GTest::gtest_main)
     pimentohollow_compile_options(${name}_tests)
-    add_test(NAME ${name} COMMAND ${name}_tests)
-    set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+    gtest_discover_tests(${name}_tests TEST_PREFIX "${name}." NO_PRETTY_VALUES DISCOVERY_TIMEOUT 60
+                         PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
 endfunction()
 
 # Adds a program from the sources in the current folder. Usage: pimentohollow_add_program(<name> [LINK <libraries>...])
