Add the configuration module: node settings, fleet document and lookups

Settings and fleet documents are read by one field reader that reports all faults with file, line and field. Each entity lists its fields once, for reading and for the canonical text. FleetView holds one version with the lookups by route, account and service; exceptions apply by precedence until they expire.

--- /dev/null
+++ b/modules/configuration/configuration.h
@@ -0,0 +1,13 @@
+/**
+ * @file
+ * Public parts of the module configuration: the settings of one node and the document that the whole fleet shares.
+ */
+#pragma once
+
+#include "configuration/fleet/entities.h"
+#include "configuration/fleet/fleetconfiguration.h"
+#include "configuration/fleet/fleetview.h"
+#include "configuration/parsing/finding.h"
+#include "configuration/settings/ipendpoint.h"
+#include "configuration/settings/nodesettings.h"
+#include "configuration/settings/secret.h"
