--- a/modules/messages/messages.h
+++ b/modules/messages/messages.h
@@ -5,3 +5,4 @@
 #pragma once
 
 #include "messages/authentication/messageauthenticator.h"
+#include "messages/gossip/gossip.h"
