--- a/modules/messages/messages.h
+++ b/modules/messages/messages.h
@@ -10,3 +10,4 @@
 #include "messages/call/linkmessages.h"
 #include "messages/call/peermessage.h"
 #include "messages/codec/framecodec.h"
+#include "messages/gossip/gossip.h"
