--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -87,6 +87,10 @@
             m_metrics.gauge("pimentohollow_caller_connections", [this] {
                 return static_cast<double>(m_callerServer->connectionCount());
             });
+            m_metrics.gauge("pimentohollow_upstream_present", [this] {
+                const auto upstream = m_upstream.current();
+                return upstream && upstream->state != UpstreamState::Gone ? 1.0 : 0.0;
+            });
             m_ready = true;
         });
 }
--- a/modules/node/settings/localsettings.cpp
+++ b/modules/node/settings/localsettings.cpp
@@ -13,14 +13,14 @@
 template <typename T>
 void readInto(const YAML::Node &parent, const char *key, T &value)
 {
-    if (parent[key]) {
+    if (parent && parent[key]) {
         value = parent[key].as<T>();
     }
 }
 
 void readMillis(const YAML::Node &parent, const char *key, Duration &value)
 {
-    if (parent[key]) {
+    if (parent && parent[key]) {
         value = std::chrono::milliseconds(parent[key].as<std::int64_t>());
     }
 }
