--- a/modules/node/chain/chainpipeline.cpp
+++ b/modules/node/chain/chainpipeline.cpp
@@ -48,6 +48,9 @@
     if (!route) {
         return m_entry.refuse(notRun(RefusalReason::NoRoute, "no route matches the request"));
     }
+    if (!isPlainPath(request.target.substr(0, request.target.find('?')))) {
+        return m_entry.refuse(notRun(RefusalReason::BadRequest, "dot segments in the path are not accepted"));
+    }
     if (above.depth >= MaximumDepth) {
         return m_entry.refuse(notRun(RefusalReason::BadRequest, "the call chain is too deep"));
     }
--- a/modules/node/pipeline/entrypipeline.cpp
+++ b/modules/node/pipeline/entrypipeline.cpp
@@ -31,6 +31,21 @@
     return target.substr(0, target.find('?'));
 }
 
+/** "." or "..", also percent-encoded. */
+bool isDotSegment(std::string_view segment)
+{
+    std::string dots;
+    while (!segment.empty()) {
+        const bool encoded = segment.starts_with("%2e") || segment.starts_with("%2E");
+        if (!encoded && segment.front() != '.') {
+            return false;
+        }
+        dots += '.';
+        segment.remove_prefix(encoded ? 3 : 1);
+    }
+    return dots == "." || dots == "..";
+}
+
 Refusal notRun(RefusalReason reason, std::string detail)
 {
     return { reason, RunState::NotRun, {}, std::move(detail) };
@@ -38,6 +53,19 @@
 
 } // namespace
 
+bool isPlainPath(std::string_view path)
+{
+    while (!path.empty()) {
+        path.remove_prefix(1);
+        const auto end = std::min(path.find('/'), path.size());
+        if (isDotSegment(path.substr(0, end))) {
+            return false;
+        }
+        path.remove_prefix(end);
+    }
+    return true;
+}
+
 void removeInternalHeaders(HttpHeaders &headers)
 {
     removeHopByHopHeaders(headers);
@@ -77,6 +105,9 @@
 
 tl::expected<PreparedRequest, Refusal> EntryPipeline::prepare(HttpRequestMessage request) const
 {
+    if (!isPlainPath(pathOf(request.target))) {
+        return tl::unexpected(notRun(RefusalReason::BadRequest, "dot segments in the path are not accepted"));
+    }
     const auto route = m_routes.match(request.method, pathOf(request.target));
     if (!route) {
         return tl::unexpected(notRun(RefusalReason::NoRoute, "no route matches the request"));
--- a/modules/node/pipeline/entrypipeline.h
+++ b/modules/node/pipeline/entrypipeline.h
@@ -37,6 +37,9 @@
     LatencyHistogram &m_requestTime;
 };
 
+/** False for a path with "." or ".." segments, which an upstream may resolve to another route than the one checked here. */
+bool isPlainPath(std::string_view path);
+
 /** Removes what belongs to the connection or to this system, so that a caller can't forge it. */
 void removeInternalHeaders(HttpHeaders &headers);
 
