--- a/modules/configuration/fleet/entities.h
+++ b/modules/configuration/fleet/entities.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -15,8 +16,6 @@
 
 /** An exception of the fleet document; its reason is kept in the audit log under this name. */
 using ExceptionName = Name<struct ExceptionNameTag>;
-/** The public id of a client key; the key itself is never stored. */
-using KeyId = Name<struct KeyIdTag>;
 
 /** Which measure admission favours when the two conflict. */
 enum class PolicyProfile : std::uint8_t {
@@ -204,7 +203,12 @@
     /** "route/orders". */
     std::string text() const;
 
-    auto operator<=>(const EntityId &) const = default;
+    bool operator==(const EntityId &) const = default;
+
+    bool operator<(const EntityId &other) const
+    {
+        return std::tie(kind, name) < std::tie(other.kind, other.name);
+    }
 };
 
 /** The name under which the single DefaultsEntity is kept. */
--- a/modules/configuration/fleet/fleetchecks.cpp
+++ b/modules/configuration/fleet/fleetchecks.cpp
@@ -182,7 +182,8 @@
     void checkDuplicateExceptions()
     {
         std::map<std::string, std::string> seen;
-        for (const auto &[name, exception] : m_fleet.exceptions) {
+        for (const auto &it : m_fleet.exceptions) {
+            const ExceptionEntity &exception = it.second;
             const std::string scope = fmt::format("{}|{}|{}|{}",
                                                   exception.account.value_or(AccountName()).text(),
                                                   exception.route.value_or(RouteName()).text(),
@@ -192,7 +193,7 @@
                 if (!present) {
                     return;
                 }
-                const auto [other, added] = seen.emplace(scope + "|" + field, name.text());
+                const auto [other, added] = seen.emplace(scope + "|" + field, exception.name.text());
                 if (!added) {
                     report(entityId(exception), field, fmt::format("is already changed for this scope by exception '{}'", other->second));
                 }
--- a/modules/configuration/parsing/fieldreader.cpp
+++ b/modules/configuration/parsing/fieldreader.cpp
@@ -9,7 +9,7 @@
 {
 
 /** Bounds the memory of the parser; a fleet of the largest size has a document of about 200 KB. */
-constexpr std::size_t MaximumDocumentBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaximumDocumentBytes = std::size_t{ 16 } * 1024 * 1024;
 /** The parser recurses for each level and may run on a small stack; documents of this project nest at most 5 deep. */
 constexpr int MaximumDepth = 32;
 constexpr int MaximumIndentation = 64;
--- a/modules/configuration/settings/ipendpoint.h
+++ b/modules/configuration/settings/ipendpoint.h
@@ -2,10 +2,10 @@
 
 #include "configuration/parsing/scalars.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace Pimentohollow
 {
@@ -20,7 +20,12 @@
 
     bool isLoopback() const;
 
-    auto operator<=>(const IpEndpoint &) const = default;
+    bool operator==(const IpEndpoint &) const = default;
+
+    bool operator<(const IpEndpoint &other) const
+    {
+        return std::tie(address, port) < std::tie(other.address, other.port);
+    }
 };
 
 std::optional<IpEndpoint> parseIpEndpoint(std::string_view text);
--- a/modules/core/names.h
+++ b/modules/core/names.h
@@ -63,6 +63,8 @@
 using DataCentreName = Name<struct DataCentreNameTag>;
 /** A node; unique in the fleet and taken from the node's settings. */
 using NodeName = Name<struct NodeNameTag>;
+/** The public id of a client key; the key itself is never stored. */
+using KeyId = Name<struct KeyIdTag>;
 
 } // namespace Pimentohollow
 
