Add the platform clients, memory implementations and the platform stand-in

The table service is reached over the DynamoDB JSON protocol and the object store over S3 REST, both with Signature Version 4, checked against three published examples. One contract suite runs against the memory implementations and against the HTTP clients with the stand-in in the same process; it covers outages, silence and answers lost after the write.

--- a/modules/platform/platform.h
+++ b/modules/platform/platform.h
@@ -4,5 +4,10 @@
  */
 #pragma once
 
+#include "platform/http/httpobjectstore.h"
+#include "platform/http/httptableservice.h"
 #include "platform/interfaces/objectstore.h"
 #include "platform/interfaces/tableservice.h"
+#include "platform/memory/faultinjector.h"
+#include "platform/memory/memoryobjectstore.h"
+#include "platform/memory/memorytableservice.h"
