--- a/modules/messages/messages.h
+++ b/modules/messages/messages.h
@@ -5,4 +5,9 @@
 #pragma once
 
 #include "messages/authentication/messageauthenticator.h"
+#include "messages/call/callmessages.h"
+#include "messages/call/httpmessages.h"
+#include "messages/call/linkmessages.h"
+#include "messages/call/peermessage.h"
+#include "messages/codec/framecodec.h"
 #include "messages/gossip/gossip.h"
