--- /dev/null
+++ b/modules/admission/shareestimator.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "admission/admissionsettings.h"
+#include "core/requestcontext.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace Pimentohollow
+{
+
+/** Shares of normal and of important requests that a service admits, each in [0, 1]. */
+struct AdmittedShares {
+    double normal = 1.0;
+    double important = 1.0;
+
+    double of(Priority priority) const
+    {
+        return priority == Priority::Important ? important : normal;
+    }
+
+    bool operator==(const AdmittedShares &) const = default;
+};
+
+/**
+ * Estimates, per window, which shares of the demand a serving node can take; they are reported to the nodes above.
+ *
+ * The demand is larger than the arrivals, because the nodes above refuse calls by the reported share already: a child
+ * call that arrives stands for 1 / share calls, a call from a caller for one.
+ */
+class ShareEstimator
+{
+public:
+    explicit ShareEstimator(ShareSettings settings = {});
+
+    /** Counts a request that arrived. @param chained whether it is a child call, which the nodes above thin out */
+    void arrived(Priority priority, bool chained, TimePoint now);
+
+    /** Counts a request refused because of load. */
+    void refused(TimePoint now);
+
+    /** Counts a whole answer. */
+    void completed(TimePoint now);
+
+    AdmittedShares shares(TimePoint now);
+
+    /** Whole answers per second; nothing before the first full window. */
+    std::optional<double> completionRate() const;
+
+private:
+    struct Arrivals {
+        double direct = 0;
+        double chained = 0;
+    };
+
+    void roll(TimePoint now);
+    void closeWindow(double seconds);
+    double demand(Priority priority) const;
+    double limitChange(double share, double target) const;
+
+    ShareSettings m_settings;
+    AdmittedShares m_shares;
+    /** The shares of the window before; callers learn of a change with about one window of delay. */
+    AdmittedShares m_previousShares;
+    TimePoint m_start{};
+    std::array<Arrivals, 2> m_arrivals;
+    double m_refused = 0;
+    double m_completed = 0;
+    std::optional<double> m_completionRate;
+};
+
+} // namespace Pimentohollow
