Measure goodput and fair shares of requests sent during the trigger

Completions of requests sent before the trigger counted as goodput (117 % of capacity for chains of 11). Fair shares are calculated per priority, because important requests come first by design.

--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -19,7 +19,7 @@
 Options:
   --seed=<n>       Seed of all runs. [default: 20261204]
   --jobs=<n>       Runs at the same time. [default: 3]
-  --filter=<text>  Runs only rows that contain this text.
+  --filter=<text>  Runs only rows that contain this text; a $ stands for the end of the row's name.
 )";
 
 struct Row {
@@ -62,7 +62,7 @@
             for (const std::uint32_t chain : { 1U, 3U, 11U }) {
                 for (const auto &policy : all) {
                     Row row{ { deployment, scenario, policy, chain, seed }, {} };
-                    if (title(row.experiment).find(filter) != std::string::npos) {
+                    if ((title(row.experiment) + "$").find(filter) != std::string::npos) {
                         rows.push_back(row);
                     }
                 }
--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -1,6 +1,7 @@
 #include "measures.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace Pimentohollow
@@ -10,6 +11,8 @@
 {
 
 constexpr Duration Bin = std::chrono::milliseconds(200);
+/** Time of the hops of one call, there and back, on average. */
+constexpr Duration RoundTrip = std::chrono::microseconds(2300);
 constexpr double RecoveredShare = 0.95;
 /** Window within which no normal request may be started after an important one was shed. */
 constexpr Duration PriorityWindow = std::chrono::milliseconds(100);
@@ -21,8 +24,15 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+using Shares = std::array<double, AccountRates.size()>;
+
+double sum(const Shares &shares)
+{
+    return std::accumulate(shares.begin(), shares.end(), 0.0);
+}
+
 /** Weighted max-min fair shares of @p total between demands. */
-std::vector<double> fairShares(const std::vector<double> &demands, double total)
+Shares fairShares(const Shares &demands, double total)
 {
     std::vector<std::size_t> order(demands.size());
     std::iota(order.begin(), order.end(), 0);
@@ -30,7 +40,7 @@
         return demands[a] / AccountRates[a] < demands[b] / AccountRates[b];
     });
     double weights = std::accumulate(AccountRates.begin(), AccountRates.end(), 0.0);
-    std::vector<double> shares(demands.size());
+    Shares shares{};
     for (const std::size_t it : order) {
         shares[it] = std::min(demands[it], total * AccountRates[it] / weights);
         total -= shares[it];
@@ -54,10 +64,10 @@
     return at >= WarmUp && at < WarmUp + TriggerLength;
 }
 
-void Measures::sent(Duration now, std::size_t account)
+void Measures::sent(Duration now, std::size_t account, Priority priority)
 {
     if (inTrigger(now)) {
-        m_demand[account] += 1;
+        m_demand[static_cast<std::size_t>(priority)][account] += 1;
     }
 }
 
@@ -66,10 +76,13 @@
     Count &bin = m_bins[static_cast<std::size_t>(firstSent / Bin)];
     ++bin.requests;
     bin.succeeded += success ? 1 : 0;
-    if (inTrigger(now) && success) {
+    const Scenario &scenario = m_experiment.scenario;
+    // Answers to requests sent shortly before the trigger, or that waited for its end, say nothing about it.
+    const Duration unloaded =
+        (OwnTime + RoundTrip) * m_experiment.chain + std::chrono::duration_cast<Duration>(OwnTime * (scenario.deepSlowdown - 1.0));
+    if (inTrigger(firstSent) && now < WarmUp + TriggerLength + unloaded && success) {
         m_served[account] += 1;
     }
-    const Scenario &scenario = m_experiment.scenario;
     const bool calm = firstSent >= Learning && firstSent < WarmUp - deadlineOf(m_experiment.chain);
     const bool onlyHog = scenario.demandFactor == 1.0 && scenario.deepSlowdown == 1.0 && account != HogAccount && inTrigger(firstSent);
     if (calm || onlyHog) {
@@ -115,12 +128,16 @@
     return report;
 }
 
+double Measures::possible() const
+{
+    return capacity(m_experiment.deployment, m_experiment.scenario.deepSlowdown) * seconds(TriggerLength);
+}
+
 double Measures::goodput() const
 {
-    const double served = std::accumulate(m_served.begin(), m_served.end(), 0.0);
-    const double demand = std::accumulate(m_demand.begin(), m_demand.end(), 0.0);
-    const double possible = capacity(m_experiment.deployment, m_experiment.scenario.deepSlowdown) * seconds(TriggerLength);
-    return served / std::min(demand, possible);
+    const double served = sum(m_served);
+    const double demand = sum(m_demand[0]) + sum(m_demand[1]);
+    return served / std::min(demand, possible());
 }
 
 double Measures::recovery() const
@@ -139,11 +156,12 @@
 
 double Measures::worstServed() const
 {
-    const double possible = capacity(m_experiment.deployment, m_experiment.scenario.deepSlowdown) * seconds(TriggerLength);
-    const auto shares = fairShares({ m_demand.begin(), m_demand.end() }, possible);
-    double worst = 1e9;
-    for (std::size_t n = 0; n < shares.size(); ++n) {
-        worst = std::min(worst, m_served[n] / shares[n]);
+    // Important requests come first, so the fair share of normal ones is a share of what they leave.
+    const auto important = fairShares(m_demand[1], possible());
+    const auto normal = fairShares(m_demand[0], possible() - sum(important));
+    double worst = std::numeric_limits<double>::max();
+    for (std::size_t n = 0; n < m_served.size(); ++n) {
+        worst = std::min(worst, m_served[n] / (important[n] + normal[n]));
     }
     return worst;
 }
--- a/bench/policy/measures.h
+++ b/bench/policy/measures.h
@@ -35,10 +35,10 @@
 public:
     Measures(const Experiment &experiment, std::uint32_t services);
 
-    /** A caller's request, sent for the first time at @p at, got its whole answer or was given up. */
-    void ended(Duration firstSent, Duration now, std::size_t account, bool success);
     /** Counts a first sending as demand of the account. */
-    void sent(Duration now, std::size_t account);
+    void sent(Duration now, std::size_t account, Priority priority);
+    /** A caller's request got its whole answer or was given up. */
+    void ended(Duration firstSent, Duration now, std::size_t account, bool success);
     void workDone(Duration now, Duration ownTime, bool useful);
     void importantShed(Duration now, std::uint32_t service);
     void normalStarted(Duration now, std::uint32_t service);
@@ -53,6 +53,8 @@
     };
 
     static bool inTrigger(Duration at);
+    /** Whole answers that the bottleneck can give during the trigger. */
+    double possible() const;
     double goodput() const;
     double recovery() const;
     double worstServed() const;
@@ -61,8 +63,10 @@
     Experiment m_experiment;
     /** By time of first sending. */
     std::vector<Count> m_bins;
-    std::array<double, AccountRates.size()> m_demand{};
-    std::array<double, AccountRates.size()> m_served{};
+    using PerAccount = std::array<double, AccountRates.size()>;
+    /** Of requests sent during the trigger, by priority. */
+    std::array<PerAccount, 2> m_demand{};
+    PerAccount m_served{};
     Count m_withinRate;
     Duration m_useful{};
     Duration m_wasted{};
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -90,8 +90,9 @@
 void Simulation::arrive(std::size_t account)
 {
     push(EventKind::Arrival, m_now + m_callers.gap(account, m_now), static_cast<std::uint32_t>(account), 0);
-    m_measures.sent(m_now, account);
-    send(m_callers.newRequest(account, m_now));
+    const CallerRequest caller = m_callers.newRequest(account, m_now);
+    m_measures.sent(m_now, account, caller.priority);
+    send(caller);
 }
 
 void Simulation::send(const CallerRequest &caller)
