--- a/modules/messages/gossip/gossipupdate.h
+++ b/modules/messages/gossip/gossipupdate.h
@@ -4,7 +4,6 @@
 #include "core/names.h"
 #include "core/upstreamrecord.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -20,7 +19,7 @@
     /** TCP port for calls between nodes. */
     std::uint16_t peerPort = 0;
 
-    auto operator<=>(const NodeAddress &) const = default;
+    bool operator==(const NodeAddress &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
