Rename the gossip update of a withdrawal

Cause: modules messages and keys both had a type named Withdrawal. Change: the gossip update is WithdrawalUpdate, like MemberUpdate; the key module keeps Withdrawal. Conclusion: both modules can be linked into one program.

--- a/modules/membership/protocol/membership.cpp
+++ b/modules/membership/protocol/membership.cpp
@@ -93,7 +93,7 @@
     checkRefresh(m_clock.now());
 }
 
-void Membership::addWithdrawal(const Withdrawal &withdrawal)
+void Membership::addWithdrawal(const WithdrawalUpdate &withdrawal)
 {
     m_view.apply(withdrawal, m_clock.now());
 }
--- a/modules/membership/protocol/membership.h
+++ b/modules/membership/protocol/membership.h
@@ -49,7 +49,7 @@
 
     /** The configuration version that this node has in force; a lower one than before is ignored. */
     void setConfigurationVersion(std::uint64_t version);
-    void addWithdrawal(const Withdrawal &withdrawal);
+    void addWithdrawal(const WithdrawalUpdate &withdrawal);
     void addFingerprint(const FingerprintEntry &entry);
     /** Number of quota shares that this node holds. */
     void setShares(std::uint8_t shares);
--- a/modules/membership/protocol/membershipevent.h
+++ b/modules/membership/protocol/membershipevent.h
@@ -44,7 +44,7 @@
 };
 
 struct WithdrawalsReceived {
-    std::vector<Withdrawal> withdrawals;
+    std::vector<WithdrawalUpdate> withdrawals;
 };
 
 struct FingerprintReceived {
--- a/modules/membership/protocol/memberview.cpp
+++ b/modules/membership/protocol/memberview.cpp
@@ -28,7 +28,7 @@
         applyMember(*member, now);
     } else if (const auto *upstream = std::get_if<UpstreamRecord>(&update)) {
         applyUpstream(*upstream, now);
-    } else if (const auto *withdrawal = std::get_if<Withdrawal>(&update)) {
+    } else if (const auto *withdrawal = std::get_if<WithdrawalUpdate>(&update)) {
         applyWithdrawal(*withdrawal, now);
     } else {
         applyFingerprint(std::get<FingerprintEntry>(update), now);
@@ -136,9 +136,9 @@
     return m_queue;
 }
 
-std::vector<Withdrawal> MemberView::withdrawalsSince(TimePoint since) const
+std::vector<WithdrawalUpdate> MemberView::withdrawalsSince(TimePoint since) const
 {
-    std::vector<Withdrawal> result;
+    std::vector<WithdrawalUpdate> result;
     for (const auto &it : m_recentWithdrawals) {
         if (it.at >= since) {
             result.push_back(it.withdrawal);
@@ -211,7 +211,7 @@
     }
 }
 
-void MemberView::applyWithdrawal(const Withdrawal &withdrawal, TimePoint now)
+void MemberView::applyWithdrawal(const WithdrawalUpdate &withdrawal, TimePoint now)
 {
     if (!m_withdrawals.add(withdrawal)) {
         return;
--- a/modules/membership/protocol/memberview.h
+++ b/modules/membership/protocol/memberview.h
@@ -50,7 +50,7 @@
     UpdateQueue &queue();
 
     /** Withdrawals learned since @p since, for the links. */
-    std::vector<Withdrawal> withdrawalsSince(TimePoint since) const;
+    std::vector<WithdrawalUpdate> withdrawalsSince(TimePoint since) const;
 
     /** Other members of this data centre to which messages may be sent. */
     std::vector<const Member *> neighbours() const;
@@ -64,7 +64,7 @@
 private:
     void applyMember(const MemberUpdate &update, TimePoint now);
     void applyUpstream(const UpstreamRecord &record, TimePoint now);
-    void applyWithdrawal(const Withdrawal &withdrawal, TimePoint now);
+    void applyWithdrawal(const WithdrawalUpdate &withdrawal, TimePoint now);
     void applyFingerprint(const FingerprintEntry &entry, TimePoint now);
     void object(const MemberUpdate &update, TimePoint now);
     void publishSelf(TimePoint now);
@@ -79,7 +79,7 @@
     UpdateQueue m_queue;
     std::map<NodeName, TimePoint> m_suspicions;
     struct Recent {
-        Withdrawal withdrawal;
+        WithdrawalUpdate withdrawal;
         TimePoint at;
     };
     std::vector<Recent> m_recentWithdrawals;
--- a/modules/membership/protocol/updatequeue.cpp
+++ b/modules/membership/protocol/updatequeue.cpp
@@ -25,7 +25,7 @@
     {
         return "u" + it.node.text();
     }
-    std::string operator()(const Withdrawal &it) const
+    std::string operator()(const WithdrawalUpdate &it) const
     {
         return "w" + it.keyId;
     }
--- a/modules/membership/table/withdrawalset.cpp
+++ b/modules/membership/table/withdrawalset.cpp
@@ -8,7 +8,7 @@
 namespace Pimentohollow
 {
 
-bool WithdrawalSet::add(const Withdrawal &withdrawal)
+bool WithdrawalSet::add(const WithdrawalUpdate &withdrawal)
 {
     if (!m_withdrawals.emplace(withdrawal.keyId, withdrawal).second) {
         return false;
@@ -33,9 +33,9 @@
     summary.withdrawalDigest = m_digest;
 }
 
-std::vector<Withdrawal> WithdrawalSet::nextPart(std::size_t bytes)
+std::vector<WithdrawalUpdate> WithdrawalSet::nextPart(std::size_t bytes)
 {
-    std::vector<Withdrawal> part;
+    std::vector<WithdrawalUpdate> part;
     auto it = m_withdrawals.upper_bound(m_cursor);
     while (part.size() < m_withdrawals.size()) {
         if (it == m_withdrawals.end()) {
--- a/modules/membership/table/withdrawalset.h
+++ b/modules/membership/table/withdrawalset.h
@@ -15,7 +15,7 @@
 {
 public:
     /** False if the key was already withdrawn. */
-    bool add(const Withdrawal &withdrawal);
+    bool add(const WithdrawalUpdate &withdrawal);
 
     bool contains(const std::string &keyId) const;
     std::size_t size() const;
@@ -24,10 +24,10 @@
     void summarise(VersionSummary &summary) const;
 
     /** Entries that fit @p bytes; successive calls go round the whole set. */
-    std::vector<Withdrawal> nextPart(std::size_t bytes);
+    std::vector<WithdrawalUpdate> nextPart(std::size_t bytes);
 
 private:
-    std::map<std::string, Withdrawal> m_withdrawals;
+    std::map<std::string, WithdrawalUpdate> m_withdrawals;
     std::uint64_t m_digest = 0;
     std::string m_cursor;
 };
--- a/modules/messages/gossip/gossipupdate.h
+++ b/modules/messages/gossip/gossipupdate.h
@@ -65,12 +65,12 @@
 };
 
 /** A withdrawn key that may not be recorded in the platform yet. The set only grows. */
-struct Withdrawal {
+struct WithdrawalUpdate {
     std::string keyId;
     /** Signed statement of the operator; checked by the module keys. */
     std::string statement;
 
-    bool operator==(const Withdrawal &) const = default;
+    bool operator==(const WithdrawalUpdate &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -96,6 +96,6 @@
 };
 
 /** One item that is spread by gossip. */
-using GossipUpdate = std::variant<MemberUpdate, UpstreamRecord, Withdrawal, FingerprintEntry>;
+using GossipUpdate = std::variant<MemberUpdate, UpstreamRecord, WithdrawalUpdate, FingerprintEntry>;
 
 } // namespace Pimentohollow
--- a/modules/messages/tests/datagramcodectest.cpp
+++ b/modules/messages/tests/datagramcodectest.cpp
@@ -23,7 +23,7 @@
 std::vector<GossipMessage> samples()
 {
     const VersionSummary versions{ 41, 2, 0xfeedfacecafebeefULL };
-    const std::vector<GossipUpdate> updates{ member(), upstream(), Withdrawal{ "k1", "signed" }, FingerprintEntry{ "f", 2, "x" } };
+    const std::vector<GossipUpdate> updates{ member(), upstream(), WithdrawalUpdate{ "k1", "signed" }, FingerprintEntry{ "f", 2, "x" } };
     return { Ping{ 7, NodeName("vie-2"), versions, updates },
              Ack{ 7, NodeName("vie-2"), versions, {} },
              IndirectPing{ 7, NodeName("vie-2"), { "127.0.0.1", 1, 2 } },
@@ -80,7 +80,7 @@
     auto sender = codec("a");
     Exchange message;
     EXPECT_LE(sender.encode(message)->size() + DatagramCodec::freeBytes(NodeName("a"), message), DatagramCodec::MaximumBytes);
-    message.updates.emplace_back(Withdrawal{ "k", std::string(DatagramCodec::freeBytes(NodeName("a"), message) + 64, 'x') });
+    message.updates.emplace_back(WithdrawalUpdate{ "k", std::string(DatagramCodec::freeBytes(NodeName("a"), message) + 64, 'x') });
     EXPECT_FALSE(sender.encode(message));
     EXPECT_FALSE(codec("b").decode(std::string(DatagramCodec::MaximumBytes + 1, '\1')));
 }
