Plug admission and retries into the pipelines

Requests wait at the serving node for a place at the upstream and are withdrawn when their caller leaves; the time of child calls and refusals of deeper services don't count as load of the upstream. Retries go to another upstream, within the chain's budget and the node's ratio.

--- a/modules/node/chain/chainpipeline.cpp
+++ b/modules/node/chain/chainpipeline.cpp
@@ -69,8 +69,10 @@
     removeInternalHeaders(request.headers);
     prepared.message = std::move(request);
     prepared.context.retriesLeft = parent.takeRetries();
+    const TimePoint begin = m_clock.now();
     ForwardedAnswer result = m_forwarder.forward(prepared, cancellation);
     parent.returnRetries(result.retriesLeft);
+    parent.childFinished(m_clock.now() - begin, std::holds_alternative<Refusal>(result.result));
     return answer(std::move(result));
 }
 
--- a/modules/node/chain/inflighttable.cpp
+++ b/modules/node/chain/inflighttable.cpp
@@ -32,9 +32,22 @@
     m_retriesLeft += count;
 }
 
-std::uint32_t InFlightRequest::retriesLeft() const
+void InFlightRequest::childFinished(Duration took, bool refused)
 {
-    return m_retriesLeft;
+    m_childTime += took.count();
+    if (refused) {
+        m_childRefused = true;
+    }
+}
+
+Duration InFlightRequest::childTime() const
+{
+    return Duration(m_childTime.load());
+}
+
+bool InFlightRequest::childRefused() const
+{
+    return m_childRefused;
 }
 
 InFlightTable::Entry::Entry(InFlightTable &owner, std::string id, std::shared_ptr<InFlightRequest> request)
--- a/modules/node/chain/inflighttable.h
+++ b/modules/node/chain/inflighttable.h
@@ -27,12 +27,18 @@
     /** Gives back the retries that a child call left unspent. */
     void returnRetries(std::uint32_t count);
 
-    std::uint32_t retriesLeft() const;
+    /** Notes a child call that ended, so that a slow or refusing deeper service isn't taken for load of this one. */
+    void childFinished(Duration took, bool refused);
+
+    Duration childTime() const;
+    bool childRefused() const;
 
 private:
     RequestContext m_context;
     std::string m_traceId;
     std::atomic<std::uint32_t> m_retriesLeft;
+    std::atomic<Duration::rep> m_childTime{ 0 };
+    std::atomic<bool> m_childRefused{ false };
 };
 
 /** The requests in flight at the upstream, by the id that was sent along. Thread-safe. */
--- a/modules/node/interfaces/upstreamsource.h
+++ b/modules/node/interfaces/upstreamsource.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/names.h"
+#include "core/requestcontext.h"
 #include "core/upstreamrecord.h"
 #include "messages/call/callmessages.h"
 
@@ -25,11 +26,14 @@
 public:
     virtual ~UpstreamSource() = default;
 
-    /** An upstream of @p service; one that isn't in @p tried, if there is any. */
-    virtual std::optional<UpstreamTarget> choose(const ServiceName &service, const std::vector<NodeName> &tried) = 0;
+    /** An upstream of the request's service that isn't in @p tried; the attempt there begins now. */
+    virtual std::optional<UpstreamTarget> choose(const RequestContext &context, const std::vector<NodeName> &tried) = 0;
+
+    /** Whether choose() would find one. */
+    virtual bool hasOther(const RequestContext &context, const std::vector<NodeName> &tried) const = 0;
 
     /** Reports how a call to a chosen upstream ended. */
-    virtual void finished(const ServiceName &service, const UpstreamTarget &target, const CallResponse &response, Duration took) = 0;
+    virtual void finished(const RequestContext &context, const UpstreamTarget &target, const CallResponse &response, Duration took) = 0;
 };
 
 } // namespace Pimentohollow
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -30,6 +30,15 @@
     return limits;
 }
 
+AdmissionSettings admissionSettings(RetryAfterSource &retryAfter)
+{
+    AdmissionSettings settings;
+    settings.retryAfter = [&retryAfter](double admittedShare) {
+        return retryAfter.forOverload(admittedShare);
+    };
+    return settings;
+}
+
 PeerPoolOptions poolOptions(const Hello &self)
 {
     PeerPoolOptions options;
@@ -47,12 +56,17 @@
     , m_keys(m_settings.accountsByKey)
     , m_upstreams(m_settings.upstreams)
     , m_upstream(m_clock, upstreamLimits(m_settings))
+    , m_retryAfter(m_self.incarnation)
+    , m_admission(m_clock, admissionSettings(m_retryAfter))
     , m_peers(m_codec, poolOptions(m_self))
-    , m_serving(m_clock, m_upstream, m_inFlight, m_metrics)
+    , m_serving(m_clock, m_upstream, m_admission, m_inFlight, m_metrics)
     , m_forwarder(m_clock, m_settings.node, m_upstreams, m_peers, m_serving, m_metrics)
-    , m_entry(m_clock, m_routes, m_keys, m_forwarder, m_metrics)
+    , m_entry(m_clock, m_routes, m_keys, m_forwarder, m_retryAfter, m_metrics)
     , m_chain(m_clock, m_routes, m_inFlight, m_entry, m_forwarder)
-    , m_announce(m_upstream)
+    , m_announce(m_upstream,
+                 [this] {
+                     m_admission.restart();
+                 })
     , m_admin(m_metrics, [this] {
         return m_ready.load();
     })
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -45,7 +45,9 @@
     StaticRoutes m_routes;
     StaticKeys m_keys;
     StaticUpstreams m_upstreams;
-    LocalUpstream m_upstream;
+    AnnouncedUpstream m_upstream;
+    RetryAfterSource m_retryAfter;
+    AdmissionGate m_admission;
     InFlightTable m_inFlight;
     PeerPool m_peers;
     ServingPipeline m_serving;
--- a/modules/node/pipeline/entrypipeline.cpp
+++ b/modules/node/pipeline/entrypipeline.cpp
@@ -81,6 +81,7 @@
     , m_routes(routes)
     , m_keys(keys)
     , m_forwarder(forwarder)
+    , m_retryAfter(retryAfter)
     , m_metrics(metrics)
     , m_requests(metrics.counter("pimentohollow_requests_total"))
     , m_requestTime(metrics.histogram("pimentohollow_request_seconds"))
@@ -141,7 +142,7 @@
     constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
     const auto status = refusalStatus(refusal);
     if (refusal.retryAfter == Duration::zero() && (status == 429 || status == 503 || status == 504)) {
-        refusal.retryAfter = DefaultRetryAfter;
+        refusal.retryAfter = m_retryAfter.atLeast(DefaultRetryAfter);
     }
     m_metrics
         .counter("pimentohollow_refusals_total",
--- a/modules/node/pipeline/entrypipeline.h
+++ b/modules/node/pipeline/entrypipeline.h
@@ -4,6 +4,7 @@
 #include "node/interfaces/keysource.h"
 #include "node/interfaces/routesource.h"
 #include "node/pipeline/forwarder.h"
+#include "node/pipeline/retryaftersource.h"
 
 namespace Pimentohollow
 {
@@ -15,7 +16,12 @@
 class EntryPipeline : public RequestHandler
 {
 public:
-    EntryPipeline(const Clock &clock, const RouteSource &routes, const KeySource &keys, Forwarder &forwarder, MetricRegistry &metrics);
+    EntryPipeline(const Clock &clock,
+                  const RouteSource &routes,
+                  const KeySource &keys,
+                  Forwarder &forwarder,
+                  RetryAfterSource &retryAfter,
+                  MetricRegistry &metrics);
 
     HttpResponseMessage handle(HttpRequestMessage request, Cancellation &cancellation) override;
 
@@ -32,6 +38,7 @@
     const RouteSource &m_routes;
     const KeySource &m_keys;
     Forwarder &m_forwarder;
+    RetryAfterSource &m_retryAfter;
     MetricRegistry &m_metrics;
     Counter &m_requests;
     LatencyHistogram &m_requestTime;
--- a/modules/node/pipeline/forwarder.cpp
+++ b/modules/node/pipeline/forwarder.cpp
@@ -43,30 +43,36 @@
 
 ForwardedAnswer Forwarder::forward(const PreparedRequest &request, Cancellation &cancellation)
 {
-    std::uint32_t retriesLeft = request.context.retriesLeft;
+    const RequestContext &context = request.context;
+    RetryBudget budget(context.retriesLeft);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ratio.recordFirstAttempt();
+    }
     std::vector<NodeName> tried;
     bool mayHaveRun = false;
     while (true) {
-        const auto target = m_upstreams.choose(request.context.service, tried);
+        const auto target = m_upstreams.choose(context, tried);
         if (!target) {
             const RunState ran = mayHaveRun ? RunState::Unknown : RunState::NotRun;
-            return { Refusal{ RefusalReason::NoUpstream, ran, {}, "no upstream of the service is known" }, retriesLeft };
+            return { Refusal{ RefusalReason::NoUpstream, ran, {}, "no upstream of the service is known" }, budget.left() };
         }
         const TimePoint begin = m_clock.now();
-        CallResponse response = attempt(request, *target, retriesLeft, cancellation);
-        m_upstreams.finished(request.context.service, *target, response, m_clock.now() - begin);
-        retriesLeft = std::min(retriesLeft, response.retriesLeft);
-        if (auto *refusal = std::get_if<Refusal>(&response.result)) {
-            // The answer speaks for the whole request, so an earlier attempt that may have run counts too.
-            mayHaveRun = mayHaveRun || refusal->ran == RunState::Unknown;
-            refusal->ran = mayHaveRun ? RunState::Unknown : RunState::NotRun;
-        }
-        if (retriesLeft == 0 || !mayRetry(request, response, cancellation)) {
-            return { std::move(response.result), retriesLeft };
+        const std::uint32_t lent = budget.lend();
+        CallResponse response = attempt(request, *target, lent, cancellation);
+        budget.giveBack(lent, response.retriesLeft);
+        m_upstreams.finished(context, *target, response, m_clock.now() - begin);
+        auto *refusal = std::get_if<Refusal>(&response.result);
+        if (refusal == nullptr) {
+            return { std::move(response.result), budget.left() };
         }
-        --retriesLeft;
-        m_retries.add();
+        // The answer speaks for the whole request, so an earlier attempt that may have run counts too.
+        mayHaveRun = mayHaveRun || refusal->ran == RunState::Unknown;
         tried.push_back(target->node);
+        if (cancellation.cancelled() || !mayRetry(context, *refusal, tried, budget)) {
+            refusal->ran = mayHaveRun ? RunState::Unknown : RunState::NotRun;
+            return { std::move(response.result), budget.left() };
+        }
     }
 }
 
@@ -82,16 +88,15 @@
     return m_peers.call(target.peerAddress, std::move(call), deadline, cancellation);
 }
 
-bool Forwarder::mayRetry(const PreparedRequest &request, const CallResponse &response, Cancellation &cancellation) const
+bool Forwarder::mayRetry(const RequestContext &context, const Refusal &refusal, const std::vector<NodeName> &tried, RetryBudget &budget)
 {
-    const auto *refusal = std::get_if<Refusal>(&response.result);
-    if (refusal == nullptr || cancellation.cancelled() || m_clock.now() >= request.context.deadline) {
-        return false;
+    const FailedAttempt failed{ refusal.reason, refusal.ran, m_upstreams.hasOther(context, tried), Duration::zero() };
+    const std::lock_guard lock(m_mutex);
+    const bool retry = std::holds_alternative<RetryElsewhere>(RetryPolicy::decide(context, failed, m_clock.now(), budget, m_ratio));
+    if (retry) {
+        m_retries.add();
     }
-    const bool repeatable = refusal->reason == RefusalReason::NoUpstream || refusal->reason == RefusalReason::UpstreamFailed
-        || refusal->reason == RefusalReason::Draining || refusal->reason == RefusalReason::Overloaded
-        || refusal->reason == RefusalReason::OutcomeLost;
-    return repeatable && (refusal->ran == RunState::NotRun || request.context.idempotent);
+    return retry;
 }
 
 } // namespace Pimentohollow
--- a/modules/node/pipeline/forwarder.h
+++ b/modules/node/pipeline/forwarder.h
@@ -4,6 +4,7 @@
 #include "node/interfaces/upstreamsource.h"
 #include "node/pipeline/servingpipeline.h"
 #include "peer/link/peerpool.h"
+#include "retries/retries.h"
 
 namespace Pimentohollow
 {
@@ -33,13 +34,16 @@
 private:
     CallResponse
     attempt(const PreparedRequest &request, const UpstreamTarget &target, std::uint32_t retriesLeft, Cancellation &cancellation);
-    bool mayRetry(const PreparedRequest &request, const CallResponse &response, Cancellation &cancellation) const;
+    bool mayRetry(const RequestContext &context, const Refusal &refusal, const std::vector<NodeName> &tried, RetryBudget &budget);
 
     const Clock &m_clock;
     NodeName m_self;
     UpstreamSource &m_upstreams;
     PeerPool &m_peers;
     ServingPipeline &m_serving;
+    std::mutex m_mutex;
+    /** Guarded by m_mutex. */
+    RetryRatio m_ratio;
     Counter &m_attempts;
     Counter &m_retries;
 };
--- a/modules/node/pipeline/servingpipeline.cpp
+++ b/modules/node/pipeline/servingpipeline.cpp
@@ -17,6 +17,21 @@
     return { request.callId, Refusal{ reason, RunState::NotRun, {}, std::move(detail) }, request.retriesLeft, std::nullopt };
 }
 
+WorkResult workResult(const CallResult &result, const InFlightRequest &request)
+{
+    if (const auto *refusal = std::get_if<Refusal>(&result)) {
+        return refusal->reason == RefusalReason::DeadlineExceeded ? WorkResult::TimedOut : WorkResult::Failed;
+    }
+    const std::uint16_t status = std::get<HttpResponseMessage>(result).status;
+    if (request.childRefused()) {
+        return status < 500 ? WorkResult::Completed : WorkResult::Failed;
+    }
+    if (status == 429 || status == 503) {
+        return WorkResult::Shed;
+    }
+    return status < 500 ? WorkResult::Completed : WorkResult::Failed;
+}
+
 RequestContext contextOf(const CallRequest &request, TimePoint deadline)
 {
     return { request.requestId,  request.account, request.service,     request.route, request.priority,
@@ -25,9 +40,11 @@
 
 } // namespace
 
-ServingPipeline::ServingPipeline(const Clock &clock, LocalUpstream &upstream, InFlightTable &inFlight, MetricRegistry &metrics)
+ServingPipeline::ServingPipeline(
+    const Clock &clock, AnnouncedUpstream &upstream, AdmissionGate &admission, InFlightTable &inFlight, MetricRegistry &metrics)
     : m_clock(clock)
     , m_upstream(upstream)
+    , m_admission(admission)
     , m_inFlight(inFlight)
     , m_metrics(metrics)
     , m_upstreamTime(metrics.histogram("pimentohollow_upstream_seconds"))
@@ -60,19 +77,29 @@
     const std::string traceId = traceIdOf(findHeader(request.request.headers, "traceparent"));
     InFlightTable::Entry entry(m_inFlight, id, std::make_shared<InFlightRequest>(contextOf(request, deadline), traceId));
     setHeader(request.request.headers, RequestIdHeader, id);
-    CallResult result = runAtUpstream(*client, request, entry, cancellation);
+    CallResult result = runAdmitted({ request, entry.request(), *client }, cancellation);
     // Taken, not read, so that a child call that arrives now can't spend them a second time.
-    return { request.callId, std::move(result), entry.request().takeRetries(), std::nullopt };
+    return { request.callId, std::move(result), entry.request().takeRetries(), record() };
+}
+
+CallResult ServingPipeline::runAdmitted(Work work, Cancellation &cancellation)
+{
+    auto slot = m_admission.admit(work.inFlight.context(), cancellation);
+    if (!slot) {
+        return std::move(slot.error());
+    }
+    CallResult result = runAtUpstream(work, cancellation);
+    slot->finish({ workResult(result, work.inFlight), work.inFlight.childTime() });
+    return result;
 }
 
-CallResult
-ServingPipeline::runAtUpstream(UpstreamClient &client, CallRequest &request, InFlightTable::Entry &entry, Cancellation &cancellation)
+CallResult ServingPipeline::runAtUpstream(Work work, Cancellation &cancellation)
 {
     const TimePoint begin = m_clock.now();
-    const TimePoint deadline = entry.request().context().deadline;
+    const TimePoint deadline = work.inFlight.context().deadline;
     const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline - begin).count();
-    setHeader(request.request.headers, TimeLeftHeader, fmt::format("{}", left));
-    auto answer = client.send(request.request, request.idempotent, deadline, cancellation);
+    setHeader(work.request.request.headers, TimeLeftHeader, fmt::format("{}", left));
+    auto answer = work.client.send(work.request.request, work.request.idempotent, deadline, cancellation);
     m_upstreamTime.record(m_clock.now() - begin);
     if (!answer) {
         m_metrics.counter("pimentohollow_upstream_failures_total", { { "reason", RefusalReasonNames.name(answer.error().reason) } }).add();
@@ -81,4 +108,18 @@
     return std::move(*answer);
 }
 
+std::optional<UpstreamRecord> ServingPipeline::record()
+{
+    const auto announced = m_upstream.current();
+    if (!announced) {
+        return std::nullopt;
+    }
+    UpstreamRecord record;
+    record.service = announced->service;
+    record.state = m_draining ? UpstreamState::Draining : announced->state;
+    record.incarnation = announced->incarnation;
+    m_admission.report(record);
+    return record;
+}
+
 } // namespace Pimentohollow
--- a/modules/node/pipeline/servingpipeline.h
+++ b/modules/node/pipeline/servingpipeline.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "metrics/metricregistry.h"
+#include "node/admission/admissiongate.h"
 #include "node/chain/inflighttable.h"
-#include "node/upstream/localupstream.h"
+#include "node/upstream/announcedupstream.h"
 #include "peer/server/callhandler.h"
 
 #include <atomic>
@@ -19,7 +20,8 @@
 class ServingPipeline : public CallHandler
 {
 public:
-    ServingPipeline(const Clock &clock, LocalUpstream &upstream, InFlightTable &inFlight, MetricRegistry &metrics);
+    ServingPipeline(
+        const Clock &clock, AnnouncedUpstream &upstream, AdmissionGate &admission, InFlightTable &inFlight, MetricRegistry &metrics);
 
     CallResponse handle(CallRequest request, TimePoint deadline, Cancellation &cancellation) override;
 
@@ -30,10 +32,20 @@
     CallResponse serveLocally(CallRequest request, TimePoint deadline, Cancellation &cancellation);
 
 private:
-    CallResult runAtUpstream(UpstreamClient &client, CallRequest &request, InFlightTable::Entry &entry, Cancellation &cancellation);
+    /** What a request needs once it is admitted. */
+    struct Work {
+        CallRequest &request;
+        InFlightRequest &inFlight;
+        UpstreamClient &client;
+    };
+
+    CallResult runAdmitted(Work work, Cancellation &cancellation);
+    CallResult runAtUpstream(Work work, Cancellation &cancellation);
+    std::optional<UpstreamRecord> record();
 
     const Clock &m_clock;
-    LocalUpstream &m_upstream;
+    AnnouncedUpstream &m_upstream;
+    AdmissionGate &m_admission;
     InFlightTable &m_inFlight;
     MetricRegistry &m_metrics;
     LatencyHistogram &m_upstreamTime;
--- a/modules/node/settings/staticsources.cpp
+++ b/modules/node/settings/staticsources.cpp
@@ -38,28 +38,32 @@
 {
 }
 
-std::optional<UpstreamTarget> StaticUpstreams::choose(const ServiceName &service, const std::vector<NodeName> &tried)
+std::optional<UpstreamTarget> StaticUpstreams::choose(const RequestContext &context, const std::vector<NodeName> &tried)
 {
-    const std::size_t start = m_next++;
-    std::optional<UpstreamTarget> alreadyTried;
-    for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
-        const StaticUpstream &it = m_upstreams[(start + n) % m_upstreams.size()];
-        if (it.service != service) {
-            continue;
-        }
-        if (std::find(tried.begin(), tried.end(), it.target.node) == tried.end()) {
-            return it.target;
-        }
-        alreadyTried = it.target;
-    }
-    return alreadyTried;
+    return find(m_next++, context.service, tried);
+}
+
+bool StaticUpstreams::hasOther(const RequestContext &context, const std::vector<NodeName> &tried) const
+{
+    return find(0, context.service, tried).has_value();
 }
 
-void StaticUpstreams::finished(const ServiceName & /*service*/,
+void StaticUpstreams::finished(const RequestContext & /*context*/,
                                const UpstreamTarget & /*target*/,
                                const CallResponse & /*response*/,
                                Duration /*took*/)
 {
 }
 
+std::optional<UpstreamTarget> StaticUpstreams::find(std::size_t start, const ServiceName &service, const std::vector<NodeName> &tried) const
+{
+    for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
+        const StaticUpstream &it = m_upstreams[(start + n) % m_upstreams.size()];
+        if (it.service == service && std::find(tried.begin(), tried.end(), it.target.node) == tried.end()) {
+            return it.target;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace Pimentohollow
--- a/modules/node/settings/staticsources.h
+++ b/modules/node/settings/staticsources.h
@@ -37,10 +37,13 @@
 public:
     explicit StaticUpstreams(std::vector<StaticUpstream> upstreams);
 
-    std::optional<UpstreamTarget> choose(const ServiceName &service, const std::vector<NodeName> &tried) override;
-    void finished(const ServiceName &service, const UpstreamTarget &target, const CallResponse &response, Duration took) override;
+    std::optional<UpstreamTarget> choose(const RequestContext &context, const std::vector<NodeName> &tried) override;
+    bool hasOther(const RequestContext &context, const std::vector<NodeName> &tried) const override;
+    void finished(const RequestContext &context, const UpstreamTarget &target, const CallResponse &response, Duration took) override;
 
 private:
+    std::optional<UpstreamTarget> find(std::size_t start, const ServiceName &service, const std::vector<NodeName> &tried) const;
+
     std::vector<StaticUpstream> m_upstreams;
     std::atomic<std::size_t> m_next{ 0 };
 };
--- a/modules/node/upstream/localupstream.cpp
+++ b/modules/node/upstream/announcedupstream.cpp
@@ -1,17 +1,17 @@
-#include "node/upstream/localupstream.h"
+#include "node/upstream/announcedupstream.h"
 
 #include <Poco/Exception.h>
 
 namespace Pimentohollow
 {
 
-LocalUpstream::LocalUpstream(const Clock &clock, const UpstreamLimits &limits)
+AnnouncedUpstream::AnnouncedUpstream(const Clock &clock, const UpstreamLimits &limits)
     : m_clock(clock)
     , m_limits(limits)
 {
 }
 
-Result<void> LocalUpstream::announce(const Announcement &announcement)
+Result<bool> AnnouncedUpstream::announce(const Announcement &announcement)
 {
     const std::lock_guard lock(m_mutex);
     const bool sameProcess =
@@ -26,10 +26,10 @@
     }
     m_announcement = announcement;
     m_announcedAt = m_clock.now();
-    return {};
+    return !sameProcess;
 }
 
-std::shared_ptr<UpstreamClient> LocalUpstream::clientFor(const ServiceName &service) const
+std::shared_ptr<UpstreamClient> AnnouncedUpstream::clientFor(const ServiceName &service) const
 {
     const auto announcement = current();
     if (!announcement || announcement->service != service) {
@@ -40,7 +40,7 @@
     return takesWork ? m_client : nullptr;
 }
 
-std::optional<Announcement> LocalUpstream::current() const
+std::optional<Announcement> AnnouncedUpstream::current() const
 {
     const std::lock_guard lock(m_mutex);
     auto result = m_announcement;
--- a/modules/node/upstream/localupstream.h
+++ b/modules/node/upstream/announcedupstream.h
@@ -24,15 +24,16 @@
 };
 
 /** The upstream beside this node, as far as it announced itself lately. Thread-safe. */
-class LocalUpstream
+class AnnouncedUpstream
 {
 public:
     /** Silence after which an upstream counts as gone. */
     static constexpr Duration Expiry = std::chrono::seconds(3);
 
-    LocalUpstream(const Clock &clock, const UpstreamLimits &limits);
+    AnnouncedUpstream(const Clock &clock, const UpstreamLimits &limits);
 
-    Result<void> announce(const Announcement &announcement);
+    /** @return whether the announcement comes from another process than the last one */
+    Result<bool> announce(const Announcement &announcement);
 
     /** The client for new work of @p service; nothing if no such upstream takes new work. */
     std::shared_ptr<UpstreamClient> clientFor(const ServiceName &service) const;
--- a/modules/node/upstream/announcehandler.cpp
+++ b/modules/node/upstream/announcehandler.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-AnnounceHandler::AnnounceHandler(LocalUpstream &upstream)
+AnnounceHandler::AnnounceHandler(AnnouncedUpstream &upstream, std::function<void()> onRestart)
     : m_upstream(upstream)
+    , m_onRestart(std::move(onRestart))
 {
 }
 
@@ -33,8 +34,12 @@
     if (!announcement) {
         return refused(RefusalReason::BadRequest, announcement.error().message);
     }
-    if (const auto taken = m_upstream.announce(*announcement); !taken) {
-        return refused(RefusalReason::BadRequest, taken.error().message);
+    const auto otherProcess = m_upstream.announce(*announcement);
+    if (!otherProcess) {
+        return refused(RefusalReason::BadRequest, otherProcess.error().message);
+    }
+    if (*otherProcess) {
+        m_onRestart();
     }
     return { 204, "No Content", {}, {} };
 }
--- a/modules/node/upstream/announcehandler.h
+++ b/modules/node/upstream/announcehandler.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "http/server/requesthandler.h"
-#include "node/upstream/localupstream.h"
+#include "node/upstream/announcedupstream.h"
+
+#include <functional>
 
 namespace Pimentohollow
 {
@@ -13,12 +15,14 @@
 class AnnounceHandler : public RequestHandler
 {
 public:
-    explicit AnnounceHandler(LocalUpstream &upstream);
+    /** @param onRestart called when another process of the upstream announces itself */
+    AnnounceHandler(AnnouncedUpstream &upstream, std::function<void()> onRestart);
 
     HttpResponseMessage handle(HttpRequestMessage request, Cancellation &cancellation) override;
 
 private:
-    LocalUpstream &m_upstream;
+    AnnouncedUpstream &m_upstream;
+    std::function<void()> m_onRestart;
 };
 
 Result<Announcement> parseAnnouncement(const std::string &json);
