--- a/modules/messages/gossip/gossipupdate.h
+++ b/modules/messages/gossip/gossipupdate.h
@@ -4,7 +4,6 @@
 #include "core/names.h"
 #include "core/upstreamrecord.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -20,7 +19,7 @@
     /** TCP port for calls between nodes. */
     std::uint16_t peerPort = 0;
 
-    auto operator<=>(const NodeAddress &) const = default;
+    bool operator==(const NodeAddress &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -66,12 +65,12 @@
 };
 
 /** A withdrawn key that may not be recorded in the platform yet. The set only grows. */
-struct Withdrawal {
+struct WithdrawalUpdate {
     std::string keyId;
     /** Signed statement of the operator; checked by the module keys. */
     std::string statement;
 
-    bool operator==(const Withdrawal &) const = default;
+    bool operator==(const WithdrawalUpdate &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -97,6 +96,6 @@
 };
 
 /** One item that is spread by gossip. */
-using GossipUpdate = std::variant<MemberUpdate, UpstreamRecord, Withdrawal, FingerprintEntry>;
+using GossipUpdate = std::variant<MemberUpdate, UpstreamRecord, WithdrawalUpdate, FingerprintEntry>;
 
 } // namespace Pimentohollow
