Add the steps for claims and quota to the pipelines

A claim is made after admission and without holding the place at the upstream; its outcome is recorded, lost or released by what provably happened. The services behind both steps come from the module runtime; without a platform, requests that need a claim are refused as not run.

--- a/modules/claims/tests/claimproperties.cpp
+++ b/modules/claims/tests/claimproperties.cpp
@@ -162,10 +162,11 @@
         ++m_incarnations[n];
         m_running[n].clear();
         m_open[n].clear();
-        m_nodes[n] = std::make_unique<ClaimNode>(std::to_string(n), m_incarnations[n], m_clock, m_table, m_objects, [this](const ClaimOwner &owner) {
-            const bool current = m_incarnations[std::stoul(owner.node.text())] == owner.incarnation;
-            return current ? OwnerLiveness::Alive : OwnerLiveness::Dead;
-        });
+        m_nodes[n] =
+            std::make_unique<ClaimNode>(std::to_string(n), m_incarnations[n], m_clock, m_table, m_objects, [this](const ClaimOwner &owner) {
+                const bool current = m_incarnations[std::stoul(owner.node.text())] == owner.incarnation;
+                return current ? OwnerLiveness::Alive : OwnerLiveness::Dead;
+            });
     }
 
     ManualClock m_clock;
--- a/modules/node/admission/admissiongate.cpp
+++ b/modules/node/admission/admissiongate.cpp
@@ -32,7 +32,10 @@
 {
     if (AdmissionGate *owner = std::exchange(m_owner, nullptr)) {
         const std::lock_guard lock(owner->m_mutex);
-        owner->apply(owner->m_controller.finished(m_ticket, outcome, owner->m_clock.now()));
+        // A paused request holds no place, so it is withdrawn and not counted as work.
+        if (owner->m_controller.cancel(m_ticket) == CancelResult::Running) {
+            owner->apply(owner->m_controller.finished(m_ticket, outcome, owner->m_clock.now()));
+        }
     }
 }
 
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -59,9 +59,9 @@
     , m_retryAfter(m_self.incarnation)
     , m_admission(m_clock, admissionSettings(m_retryAfter))
     , m_peers(m_codec, poolOptions(m_self))
-    , m_serving(m_clock, m_upstream, m_admission, m_inFlight, m_metrics)
+    , m_serving(m_clock, m_upstream, m_admission, m_inFlight, nullptr, m_metrics)
     , m_forwarder(m_clock, m_settings.node, m_upstreams, m_peers, m_serving, m_metrics)
-    , m_entry(m_clock, m_routes, m_keys, m_forwarder, m_retryAfter, m_metrics)
+    , m_entry(m_clock, m_routes, m_keys, m_quota, m_forwarder, m_retryAfter, m_metrics)
     , m_chain(m_clock, m_routes, m_inFlight, m_entry, m_forwarder)
     , m_announce(m_upstream,
                  [this] {
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -44,6 +44,7 @@
     std::atomic<bool> m_ready{ false };
     StaticRoutes m_routes;
     StaticKeys m_keys;
+    UnlimitedQuota m_quota;
     StaticUpstreams m_upstreams;
     AnnouncedUpstream m_upstream;
     RetryAfterSource m_retryAfter;
--- a/modules/node/pipeline/entrypipeline.cpp
+++ b/modules/node/pipeline/entrypipeline.cpp
@@ -78,12 +78,14 @@
 EntryPipeline::EntryPipeline(const Clock &clock,
                              const RouteSource &routes,
                              const KeySource &keys,
+                             QuotaService &quota,
                              Forwarder &forwarder,
                              RetryAfterSource &retryAfter,
                              MetricRegistry &metrics)
     : m_clock(clock)
     , m_routes(routes)
     , m_keys(keys)
+    , m_quota(quota)
     , m_forwarder(forwarder)
     , m_retryAfter(retryAfter)
     , m_metrics(metrics)
@@ -137,6 +139,10 @@
         return tl::unexpected(notRun(RefusalReason::BadRequest, removed.error()));
     }
     removeInternalHeaders(request.headers);
+    // Last, so that a request refused for another reason uses up no part of the rate.
+    if (const auto refusal = account->empty() ? std::nullopt : m_quota.take(*account)) {
+        return tl::unexpected(*refusal);
+    }
     prepared.message = std::move(request);
     return prepared;
 }
--- a/modules/node/pipeline/entrypipeline.h
+++ b/modules/node/pipeline/entrypipeline.h
@@ -2,6 +2,7 @@
 
 #include "http/server/requesthandler.h"
 #include "node/interfaces/keysource.h"
+#include "node/interfaces/quotaservice.h"
 #include "node/interfaces/routesource.h"
 #include "node/pipeline/forwarder.h"
 #include "node/pipeline/retryaftersource.h"
@@ -19,13 +20,14 @@
     EntryPipeline(const Clock &clock,
                   const RouteSource &routes,
                   const KeySource &keys,
+                  QuotaService &quota,
                   Forwarder &forwarder,
                   RetryAfterSource &retryAfter,
                   MetricRegistry &metrics);
 
     HttpResponseMessage handle(HttpRequestMessage request, Cancellation &cancellation) override;
 
-    /** Checks the route and the key and removes the key. */
+    /** Checks the route, the key and the rate of the account, and removes the key. */
     tl::expected<PreparedRequest, Refusal> prepare(HttpRequestMessage request) const;
 
     /** The answer to a refusal, with a Retry-After where coming back may help. */
@@ -37,6 +39,7 @@
     const Clock &m_clock;
     const RouteSource &m_routes;
     const KeySource &m_keys;
+    QuotaService &m_quota;
     Forwarder &m_forwarder;
     RetryAfterSource &m_retryAfter;
     MetricRegistry &m_metrics;
--- a/modules/node/pipeline/servingpipeline.cpp
+++ b/modules/node/pipeline/servingpipeline.cpp
@@ -40,12 +40,17 @@
 
 } // namespace
 
-ServingPipeline::ServingPipeline(
-    const Clock &clock, AnnouncedUpstream &upstream, AdmissionGate &admission, InFlightTable &inFlight, MetricRegistry &metrics)
+ServingPipeline::ServingPipeline(const Clock &clock,
+                                 AnnouncedUpstream &upstream,
+                                 AdmissionGate &admission,
+                                 InFlightTable &inFlight,
+                                 ClaimService *claims,
+                                 MetricRegistry &metrics)
     : m_clock(clock)
     , m_upstream(upstream)
     , m_admission(admission)
     , m_inFlight(inFlight)
+    , m_claims(claims)
     , m_metrics(metrics)
     , m_upstreamTime(metrics.histogram("pimentohollow_upstream_seconds"))
 {
@@ -82,18 +87,21 @@
     return { request.callId, std::move(result), entry.request().takeRetries(), record() };
 }
 
-CallResult ServingPipeline::runAdmitted(Work work, Cancellation &cancellation)
+CallResult ServingPipeline::runAdmitted(const UpstreamWork &work, Cancellation &cancellation)
 {
     auto slot = m_admission.admit(work.inFlight.context(), cancellation);
     if (!slot) {
         return std::move(slot.error());
     }
-    CallResult result = runAtUpstream(work, cancellation);
+    const auto run = [this, &work, &cancellation] {
+        return runAtUpstream(work, cancellation);
+    };
+    CallResult result = ClaimStep::applies(work.request) ? m_claims.run(work, *slot, run, cancellation) : run();
     slot->finish({ workResult(result, work.inFlight), work.inFlight.childTime() });
     return result;
 }
 
-CallResult ServingPipeline::runAtUpstream(Work work, Cancellation &cancellation)
+CallResult ServingPipeline::runAtUpstream(const UpstreamWork &work, Cancellation &cancellation)
 {
     const TimePoint begin = m_clock.now();
     const TimePoint deadline = work.inFlight.context().deadline;
--- a/modules/node/pipeline/servingpipeline.h
+++ b/modules/node/pipeline/servingpipeline.h
@@ -3,6 +3,7 @@
 #include "metrics/metricregistry.h"
 #include "node/admission/admissiongate.h"
 #include "node/chain/inflighttable.h"
+#include "node/pipeline/claimstep.h"
 #include "node/upstream/announcedupstream.h"
 #include "peer/server/callhandler.h"
 
@@ -20,8 +21,12 @@
 class ServingPipeline : public CallHandler
 {
 public:
-    ServingPipeline(
-        const Clock &clock, AnnouncedUpstream &upstream, AdmissionGate &admission, InFlightTable &inFlight, MetricRegistry &metrics);
+    ServingPipeline(const Clock &clock,
+                    AnnouncedUpstream &upstream,
+                    AdmissionGate &admission,
+                    InFlightTable &inFlight,
+                    ClaimService *claims,
+                    MetricRegistry &metrics);
 
     CallResponse handle(CallRequest request, TimePoint deadline, Cancellation &cancellation) override;
 
@@ -32,21 +37,15 @@
     CallResponse serveLocally(CallRequest request, TimePoint deadline, Cancellation &cancellation);
 
 private:
-    /** What a request needs once it is admitted. */
-    struct Work {
-        CallRequest &request;
-        InFlightRequest &inFlight;
-        UpstreamClient &client;
-    };
-
-    CallResult runAdmitted(Work work, Cancellation &cancellation);
-    CallResult runAtUpstream(Work work, Cancellation &cancellation);
+    CallResult runAdmitted(const UpstreamWork &work, Cancellation &cancellation);
+    CallResult runAtUpstream(const UpstreamWork &work, Cancellation &cancellation);
     std::optional<UpstreamRecord> record();
 
     const Clock &m_clock;
     AnnouncedUpstream &m_upstream;
     AdmissionGate &m_admission;
     InFlightTable &m_inFlight;
+    ClaimStep m_claims;
     MetricRegistry &m_metrics;
     LatencyHistogram &m_upstreamTime;
     std::atomic<bool> m_draining{ false };
