--- a/modules/claims/expiry/claimsweeper.cpp
+++ b/modules/claims/expiry/claimsweeper.cpp
@@ -99,10 +99,11 @@
 Result<void> ClaimSweeper::removeBodies(const std::vector<Claim> &claims)
 {
     for (const auto &it : claims) {
-        if (!it.outcome || it.outcome->bodyObject.empty()) {
+        if (it.outcome && it.outcome->bodyObject.empty()) {
             continue;
         }
-        if (auto removed = m_objects.remove(it.outcome->bodyObject); !removed) {
+        // A claim without an outcome may have an object: its owner died between writing the object and the row.
+        if (auto removed = m_objects.remove(bodyObjectKey(it.claimId)); !removed) {
             return removed;
         }
     }
--- a/modules/claims/tests/claimproperties.cpp
+++ b/modules/claims/tests/claimproperties.cpp
@@ -76,7 +76,7 @@
         }
     }
 
-    /** After everything has recovered, a resend m_runs, gets the outcome, or learns that the outcome is lost. */
+    /** After everything has recovered, a resend runs, gets the outcome, or learns that the outcome is lost. */
     void checkKeysAreFree()
     {
         for (std::size_t key = 0; key < KeyCount; ++key) {
@@ -134,7 +134,7 @@
         } else if (const auto *replay = std::get_if<ReplayOutcome>(&verdict)) {
             RC_ASSERT(replay->outcome.body == m_outcomes[key]);
         } else if (const auto &refusal = std::get<Refusal>(verdict); refusal.ran == RunState::NotRun) {
-            // No request that this process knows to be m_running may be called "not run".
+            // No request that this process knows to be running may be called "not run".
             for (const auto &it : m_running[n]) {
                 RC_ASSERT(it.key != key);
             }
@@ -162,10 +162,11 @@
         ++m_incarnations[n];
         m_running[n].clear();
         m_open[n].clear();
-        m_nodes[n] = std::make_unique<ClaimNode>(std::to_string(n), m_incarnations[n], m_clock, m_table, m_objects, [this](const ClaimOwner &owner) {
-            const bool current = m_incarnations[std::stoul(owner.node.text())] == owner.incarnation;
-            return current ? OwnerLiveness::Alive : OwnerLiveness::Dead;
-        });
+        m_nodes[n] =
+            std::make_unique<ClaimNode>(std::to_string(n), m_incarnations[n], m_clock, m_table, m_objects, [this](const ClaimOwner &owner) {
+                const bool current = m_incarnations[std::stoul(owner.node.text())] == owner.incarnation;
+                return current ? OwnerLiveness::Alive : OwnerLiveness::Dead;
+            });
     }
 
     ManualClock m_clock;
@@ -192,7 +193,7 @@
 // Guards against a second run, a false "not run" and a key that stays blocked, under random faults, crashes and pauses.
 RC_GTEST_PROP(ClaimProperty, RunsAtMostOnce, ())
 {
-    // Faults that need several late writes show in about one of 5000 sequences, so each case m_runs many.
+    // Faults that need several late writes show in about one of 5000 sequences, so each case runs many.
     for (int sequence = 0; sequence < 50; ++sequence) {
         const auto steps = *rc::gen::container<std::vector<Step>>(100, rc::gen::arbitrary<Step>());
         World world;
--- /dev/null
+++ b/modules/routing/selection/upstreamselector.cpp
@@ -0,0 +1,100 @@
+#include "routing/selection/upstreamselector.h"
+
+#include <algorithm>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+// With half of the list unusable, four draws find two usable entries in two of three cases; otherwise the list is scanned.
+constexpr int MostDraws = 4;
+
+} // namespace
+
+UpstreamSelector::UpstreamSelector(const UpstreamTable &table, const Clock &clock, Random &random)
+    : m_table(table)
+    , m_clock(clock)
+    , m_random(random)
+{
+}
+
+std::optional<Selection> UpstreamSelector::choose(const ServiceName &service, const std::vector<NodeName> &tried)
+{
+    m_now = m_clock.now();
+    const auto &upstreams = m_table.service(service);
+    for (const auto need : { Need::Room, Need::Health, Need::Any }) {
+        if (const auto *it = chooseOf(upstreams.local, tried, need)) {
+            return Selection{ it->record.node, true };
+        }
+        if (const auto *it = chooseOf(upstreams.remote, tried, need)) {
+            return Selection{ it->record.node, false };
+        }
+    }
+    return std::nullopt;
+}
+
+bool UpstreamSelector::isUsable(const Upstream &upstream, const std::vector<NodeName> &tried, Need need) const
+{
+    if (need != Need::Any && (!upstream.reachable || upstream.isEjected(m_now))) {
+        return false;
+    }
+    if (need == Need::Room && upstream.loadWithOneMore(m_now) > 1.0) {
+        return false;
+    }
+    return std::find(tried.begin(), tried.end(), upstream.record.node) == tried.end();
+}
+
+const Upstream *UpstreamSelector::chooseOf(const std::vector<Upstream *> &list, const std::vector<NodeName> &tried, Need need)
+{
+    if (list.size() <= 2) {
+        return scan(list, tried, need);
+    }
+    const Upstream *first = nullptr;
+    for (int n = 0; n < MostDraws; ++n) {
+        const auto *it = list[m_random.below(list.size())];
+        if (it == first || !isUsable(*it, tried, need)) {
+            continue;
+        }
+        if (first) {
+            return lessLoaded(first, it);
+        }
+        first = it;
+    }
+    return scan(list, tried, need);
+}
+
+const Upstream *UpstreamSelector::scan(const std::vector<Upstream *> &list, const std::vector<NodeName> &tried, Need need)
+{
+    // Reservoir sampling of two usable upstreams.
+    const Upstream *first = nullptr;
+    const Upstream *second = nullptr;
+    std::uint64_t seen = 0;
+    for (const auto *it : list) {
+        if (!isUsable(*it, tried, need)) {
+            continue;
+        }
+        ++seen;
+        if (!first) {
+            first = it;
+        } else if (!second) {
+            second = it;
+        } else if (const auto slot = m_random.below(seen); slot < 2) {
+            (slot == 0 ? first : second) = it;
+        }
+    }
+    return second ? lessLoaded(first, second) : first;
+}
+
+const Upstream *UpstreamSelector::lessLoaded(const Upstream *a, const Upstream *b)
+{
+    const double loadA = a->loadWithOneMore(m_now);
+    const double loadB = b->loadWithOneMore(m_now);
+    if (loadA == loadB) {
+        return m_random.below(2) == 0 ? a : b;
+    }
+    return loadA < loadB ? a : b;
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/routing/selection/upstreamselector.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "routing/table/upstreamtable.h"
+
+#include <optional>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+/** The upstream that gets a call. */
+struct Selection {
+    NodeName node;
+    bool local = false;
+};
+
+/**
+ * Chooses an upstream by two random choices: of two, the one with the lower load after the call. Two choices stay close to
+ * the best one with fresh information and don't herd to one upstream with old information (docs/routing.md).
+ *
+ * Order: local ones with room, others with room, local ones that are full, others that are full, and as a last resort
+ * ejected ones: a wrong ejection must not refuse work that could run. Draining upstreams and those already tried are never chosen.
+ */
+class UpstreamSelector
+{
+public:
+    UpstreamSelector(const UpstreamTable &table, const Clock &clock, Random &random);
+
+    /** @param tried the nodes that earlier attempts of this call went to; nothing is returned if no other one is left */
+    std::optional<Selection> choose(const ServiceName &service, const std::vector<NodeName> &tried);
+
+private:
+    enum class Need {
+        Room, ///< reachable, not ejected, load below the limit
+        Health, ///< reachable, not ejected
+        Any,
+    };
+
+    bool isUsable(const Upstream &upstream, const std::vector<NodeName> &tried, Need need) const;
+    const Upstream *chooseOf(const std::vector<Upstream *> &list, const std::vector<NodeName> &tried, Need need);
+    const Upstream *scan(const std::vector<Upstream *> &list, const std::vector<NodeName> &tried, Need need);
+    const Upstream *lessLoaded(const Upstream *a, const Upstream *b);
+
+    const UpstreamTable &m_table;
+    const Clock &m_clock;
+    Random &m_random;
+    TimePoint m_now{};
+};
+
+} // namespace Pimentohollow
