Let the latency gradient start with exponential growth

Cause: in chains of 11 a request holds a slot for 0.24 s, and growth by 15 % per window had not found the 430 slots after 3 s.

--- a/modules/admission/limits/gradientlimit.cpp
+++ b/modules/admission/limits/gradientlimit.cpp
@@ -51,6 +51,7 @@
 {
     m_limit = m_settings.initial;
     m_base = 0;
+    m_slowStart = true;
     m_previous = {};
     m_window = {};
     m_window.start = now;
@@ -60,6 +61,9 @@
 
 void GradientLimit::record(const LimitSample &sample, TimePoint now)
 {
+    if (m_slowStart && sample.result == WorkResult::Completed && 2 * sample.inFlight >= limit()) {
+        setLimit(m_limit + 1);
+    }
     if (sample.result == WorkResult::Failed || sample.startedAt < m_window.start) {
         return;
     }
@@ -131,8 +135,9 @@
     }
     const double headroom = m_settings.tolerance * m_base / m_window.latency();
     if (headroom < 1.0) {
+        m_slowStart = false;
         setLimit(m_limit * std::max(m_settings.largestCut, headroom));
-    } else if (inUse) {
+    } else if (inUse && !m_slowStart) {
         setLimit(m_limit * m_settings.growth + SmallestGrowth);
     }
     if (!inUse) {
@@ -147,6 +152,7 @@
 {
     setLimit(std::min<double>(m_limit, sample.inFlight) * ShedDecrease);
     m_limitBeforeProbe = 0;
+    m_slowStart = false;
     m_window = {};
     m_window.start = now;
 }
--- a/modules/admission/limits/gradientlimit.h
+++ b/modules/admission/limits/gradientlimit.h
@@ -70,6 +70,8 @@
     GradientLimitSettings m_settings;
     double m_limit;
     double m_base = 0;
+    /** Grows by one for each answer until the first sign of queueing, as windows take too long to find a high limit. */
+    bool m_slowStart = true;
     Window m_window;
     Window m_previous;
     TimePoint m_lastProbe{};
