Smooth the reported shares and let them recover faster

Cause: one window with few completions pushed the shares to 0.5 %, and growth by 30 % per window took 2 s.

--- a/modules/admission/shareestimator.cpp
+++ b/modules/admission/shareestimator.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/** Lowest share from which it can grow again; 0 would stay 0. */
-constexpr double SmallestShare = 0.005;
+/** Lowest share from which it can grow again; 0 would stay 0, and less than a few percent would take seconds to grow. */
+constexpr double SmallestShare = 0.02;
 /** Weight of a new window in the completion rate. */
 constexpr double RateWeight = 0.3;
 
@@ -47,7 +47,7 @@
 AdmittedShares ShareEstimator::shares(TimePoint now)
 {
     roll(now);
-    return m_shares;
+    return m_shares.important < 1.0 ? AdmittedShares{ 0.0, m_shares.important } : m_shares;
 }
 
 std::optional<double> ShareEstimator::completionRate() const
@@ -93,14 +93,14 @@
     double normal = 1.0;
     double important = 1.0;
     if (m_refused > 0) {
-        const double capacity = std::max(1.0, m_completed * m_settings.overcommit);
+        const double capacity = std::max(1.0, *m_completionRate * elapsed * m_settings.overcommit);
         const double importantDemand = demand(Priority::Important);
         const double normalDemand = demand(Priority::Normal);
         important = importantDemand <= capacity ? 1.0 : capacity / importantDemand;
         normal = normalDemand <= 0 ? 1.0 : std::clamp((capacity - importantDemand) / normalDemand, 0.0, 1.0);
     }
     m_shares.important = limitChange(before.important, important);
-    m_shares.normal = m_shares.important < 1.0 ? 0.0 : limitChange(before.normal, normal);
+    m_shares.normal = limitChange(before.normal, normal);
     m_previousShares = before;
 }
 
--- a/modules/admission/shareestimator.h
+++ b/modules/admission/shareestimator.h
@@ -60,6 +60,7 @@
     double limitChange(double share, double target) const;
 
     ShareSettings m_settings;
+    /** As estimated; normal requests are reported as 0 while important ones are thinned. */
     AdmittedShares m_shares;
     /** The shares of the window before; callers learn of a change with about one window of delay. */
     AdmittedShares m_previousShares;
