Cut the gradient limit by at most 30 % per window

Cause: after a slow-down two cuts by half left a limit of 12 for 30 slots until the new base latency was learnt.

--- a/modules/admission/limits/gradientlimit.h
+++ b/modules/admission/limits/gradientlimit.h
@@ -18,7 +18,7 @@
     /** Growth per window while latency is within the tolerance. */
     double growth = 1.15;
     /** Largest cut per window. */
-    double largestCut = 0.5;
+    double largestCut = 0.7;
     /** Fewest samples of a window; fewer make the mean too noisy to act on. */
     std::uint32_t smallestWindow = 20;
     /** Interval at which a limit that is in use all the time is lowered for one window, to measure the base latency again. */
