--- a/bench/policy/simulationcalls.cpp
+++ b/bench/policy/simulationcalls.cpp
@@ -244,8 +244,9 @@
         return;
     }
     Request &request = m_requests[index];
+    const RefusalReason reason = request.calls[level].failure;
     const bool shed =
-        request.calls[level].failure == RefusalReason::Overloaded || request.calls[level].failure == RefusalReason::DownstreamOverloaded;
+        reason == RefusalReason::Overloaded || reason == RefusalReason::DownstreamOverloaded || reason == RefusalReason::UpstreamFailed;
     if (shed && request.caller.priority == Priority::Important) {
         m_measures.importantShed(m_now, level);
     }
