Bound the slow start of the latency gradient by what is in flight

Cause: the limit grew to twice what was in flight, overshot the slots of upper services, and in chains of 11 grew too slowly at first.

--- a/modules/admission/admissioncontroller.cpp
+++ b/modules/admission/admissioncontroller.cpp
@@ -111,10 +111,10 @@
     }
     const Request request = std::move(found->second);
     m_requests.erase(found);
-    --m_inFlight;
+    const std::uint32_t inFlightAtEnd = m_inFlight--;
     const Duration time = now - request.startedAt;
-    m_limit.record({ outcome.result, request.startedAt, std::max(Duration::zero(), time - outcome.childTime), request.inFlightAtStart },
-                   now);
+    const Duration ownTime = std::max(Duration::zero(), time - outcome.childTime);
+    m_limit.record({ outcome.result, request.startedAt, ownTime, request.inFlightAtStart, inFlightAtEnd }, now);
     if (outcome.result == WorkResult::Completed) {
         learnTime(request.route, time, now);
         m_shares.completed(now);
--- a/modules/admission/limits/gradientlimit.cpp
+++ b/modules/admission/limits/gradientlimit.cpp
@@ -14,6 +14,10 @@
 constexpr double FasterBaseWeight = 0.3;
 /** Fall of concurrency between two windows from which their latencies can be compared. */
 constexpr double ComparableFall = 0.8;
+/** Share of the limit above which it counts as in use; a lower share would raise the limit far above what was ever in flight. */
+constexpr double InUseShare = 0.75;
+/** Growth per answer before the first sign of queueing; with 2, a limit triples in the time of a request. */
+constexpr double SlowStartGrowth = 2.0;
 /** Decrease of the limit when the upstream sheds. */
 constexpr double ShedDecrease = 0.9;
 /** Added to each growth, so that very small limits grow too. */
@@ -61,9 +65,8 @@
 
 void GradientLimit::record(const LimitSample &sample, TimePoint now)
 {
-    if (m_slowStart && sample.result == WorkResult::Completed && 2 * sample.inFlight >= limit()) {
-        setLimit(m_limit + 1);
-    }
+    const auto latency = static_cast<double>(sample.ownTime.count());
+    growInSlowStart(sample, latency);
     if (sample.result == WorkResult::Failed || sample.startedAt < m_window.start) {
         return;
     }
@@ -71,7 +74,6 @@
         reactToShed(sample, now);
         return;
     }
-    const auto latency = static_cast<double>(sample.ownTime.count());
     const bool lowerBoundTooLow = sample.result == WorkResult::TimedOut && latency <= m_base;
     if (lowerBoundTooLow) {
         return;
@@ -84,6 +86,14 @@
     }
 }
 
+void GradientLimit::growInSlowStart(const LimitSample &sample, double latency)
+{
+    const bool good = sample.result == WorkResult::Completed && (m_base == 0 || latency <= m_settings.tolerance * m_base);
+    if (m_slowStart && good && sample.inFlightAtEnd >= InUseShare * m_limit) {
+        setLimit(m_limit + SlowStartGrowth);
+    }
+}
+
 bool GradientLimit::windowComplete() const
 {
     return m_window.samples >= m_settings.smallestWindow && m_window.samples >= limit() / 2;
@@ -92,7 +102,7 @@
 void GradientLimit::closeWindow(TimePoint now)
 {
     const bool probed = m_limitBeforeProbe > 0;
-    const bool inUse = probed || 2 * m_window.inFlight() >= m_limit;
+    const bool inUse = probed || m_window.inFlight() >= InUseShare * m_limit;
     updateBase(inUse, probed);
     updateLimit(inUse, now);
     m_previous = m_window;
--- a/modules/admission/limits/gradientlimit.h
+++ b/modules/admission/limits/gradientlimit.h
@@ -58,6 +58,7 @@
         double inFlight() const;
     };
 
+    void growInSlowStart(const LimitSample &sample, double latency);
     bool windowComplete() const;
     void closeWindow(TimePoint now);
     /** Whether latency stayed although concurrency fell since the previous window. */
--- a/modules/admission/limits/limitsample.h
+++ b/modules/admission/limits/limitsample.h
@@ -23,6 +23,8 @@
     Duration ownTime{};
     /** Requests in flight when this one started, itself included. */
     std::uint32_t inFlight = 0;
+    /** Requests in flight when this one ended, itself included. */
+    std::uint32_t inFlightAtEnd = 0;
 };
 
 } // namespace Pimentohollow
