--- a/modules/admission/limits/gradientlimit.h
+++ b/modules/admission/limits/gradientlimit.h
@@ -18,7 +18,7 @@
     /** Growth per window while latency is within the tolerance. */
     double growth = 1.15;
     /** Largest cut per window. */
-    double largestCut = 0.5;
+    double largestCut = 0.7;
     /** Fewest samples of a window; fewer make the mean too noisy to act on. */
     std::uint32_t smallestWindow = 20;
     /** Interval at which a limit that is in use all the time is lowered for one window, to measure the base latency again. */
@@ -58,6 +58,7 @@
         double inFlight() const;
     };
 
+    void growInSlowStart(const LimitSample &sample, double latency);
     bool windowComplete() const;
     void closeWindow(TimePoint now);
     /** Whether latency stayed although concurrency fell since the previous window. */
@@ -70,6 +71,8 @@
     GradientLimitSettings m_settings;
     double m_limit;
     double m_base = 0;
+    /** Grows by one for each answer until the first sign of queueing, as windows take too long to find a high limit. */
+    bool m_slowStart = true;
     Window m_window;
     Window m_previous;
     TimePoint m_lastProbe{};
