--- a/modules/core/names.h
+++ b/modules/core/names.h
@@ -34,6 +34,7 @@
         return m_text.empty();
     }
 
+    // clang-tidy 14 takes the literal 0 of the rewritten comparison for a pointer. NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Name &) const = default;
     bool operator==(const Name &) const = default;
 
--- a/modules/messages/call/linkmessages.h
+++ b/modules/messages/call/linkmessages.h
@@ -40,16 +40,19 @@
     }
 };
 
-/** Configuration changes in order; each is the text of one change document. */
+/** Brings the asking node up to date: changes in order, or a whole document for one that is too far behind. */
 struct ChangesResponse {
     std::uint64_t callId = 0;
-    std::uint64_t firstVersion = 0;
+    /** Version of the document; 0 if there is none. */
+    std::uint64_t documentVersion = 0;
+    std::string document;
+    /** Texts of change documents, in order and without gaps. */
     std::vector<std::string> changes;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(callId, firstVersion, changes);
+        archive(callId, documentVersion, document, changes);
     }
 };
 
--- a/modules/peer/link/peerpool.cpp
+++ b/modules/peer/link/peerpool.cpp
@@ -102,19 +102,44 @@
 PeerPool::LinkPtr PeerPool::open(const std::string &address, TimePoint deadline)
 {
     const TimePoint limit = std::min(deadline, std::chrono::steady_clock::now() + m_options.connectTime);
+    auto channel = connect(address, limit);
+    if (!channel) {
+        Log.warning("connect_failed", { { "reason", channel.error().describe() } });
+        return nullptr;
+    }
+    return std::make_shared<PeerLink>(std::move(*channel), m_options.timings);
+}
+
+Result<std::unique_ptr<MessageChannel>> PeerPool::connect(const std::string &address, TimePoint deadline) const
+{
     try {
         Poco::Net::StreamSocket socket;
-        socket.connect(Poco::Net::SocketAddress(address), timespan(limit - std::chrono::steady_clock::now()));
+        socket.connect(Poco::Net::SocketAddress(address), timespan(deadline - std::chrono::steady_clock::now()));
         auto frames = std::make_unique<TcpFrameChannel>(socket, m_codec, m_options.sendTime);
-        auto channel = MessageChannel::connect(std::move(frames), m_codec, m_options.self, limit);
-        if (channel) {
-            return std::make_shared<PeerLink>(std::move(*channel), m_options.timings);
-        }
-        Log.warning("connect_failed", { { "reason", channel.error().describe() } });
+        return MessageChannel::connect(std::move(frames), m_codec, m_options.self, deadline);
     } catch (const Poco::Exception &ex) {
-        Log.warning("connect_failed", { { "peer", address }, { "reason", ex.displayText() } });
+        return failure(ErrorKind::Unavailable, "peer.connect", ex.displayText(), address);
+    }
+}
+
+Result<ChangesResponse> PeerPool::requestChanges(const std::string &address, std::uint64_t afterVersion, TimePoint deadline) const
+{
+    auto channel = connect(address, deadline);
+    if (!channel) {
+        return tl::unexpected(channel.error());
+    }
+    if (auto sent = (*channel)->send(ChangesRequest{ 0, afterVersion }); !sent) {
+        return tl::unexpected(sent.error());
+    }
+    while (true) {
+        auto message = (*channel)->receive(deadline);
+        if (!message) {
+            return tl::unexpected(message.error());
+        }
+        if (auto *response = std::get_if<ChangesResponse>(&*message)) {
+            return std::move(*response);
+        }
     }
-    return nullptr;
 }
 
 CallResponse PeerPool::resolve(const std::string &address,
--- a/modules/peer/link/peerpool.h
+++ b/modules/peer/link/peerpool.h
@@ -34,6 +34,12 @@
     /** Runs a call at the node that listens at @p address ("ip:port"). */
     CallResponse call(const std::string &address, CallRequest request, TimePoint deadline, Cancellation &cancellation);
 
+    /**
+     * Asks the node at @p address for the configuration changes after a version, over a connection of its own, so that a
+     * large document doesn't delay calls.
+     */
+    Result<ChangesResponse> requestChanges(const std::string &address, std::uint64_t afterVersion, TimePoint deadline) const;
+
 private:
     using LinkPtr = std::shared_ptr<PeerLink>;
 
@@ -48,6 +54,7 @@
     std::shared_ptr<Peer> peerAt(const std::string &address);
     LinkPtr pick(const std::string &address, TimePoint deadline);
     LinkPtr open(const std::string &address, TimePoint deadline);
+    Result<std::unique_ptr<MessageChannel>> connect(const std::string &address, TimePoint deadline) const;
     CallResponse resolve(const std::string &address,
                          const CallRequest &request,
                          const PeerLink &broken,
--- a/modules/peer/peer.h
+++ b/modules/peer/peer.h
@@ -11,4 +11,5 @@
 #include "peer/link/peerpool.h"
 #include "peer/server/callhandler.h"
 #include "peer/server/callregistry.h"
+#include "peer/server/changeshandler.h"
 #include "peer/server/peerserver.h"
--- a/modules/peer/server/peerserver.cpp
+++ b/modules/peer/server/peerserver.cpp
@@ -148,7 +148,8 @@
                                              [this](const std::string &nonce) {
                                                  revokeLink(nonce);
                                              },
-                                             m_options.self.incarnation };
+                                             m_options.self.incarnation,
+                                             m_options.changes };
     const auto link = std::make_shared<ServerLink>(std::move(*channel), environment);
     if (!enlist(link)) {
         return;
--- a/modules/peer/server/peerserver.h
+++ b/modules/peer/server/peerserver.h
@@ -20,6 +20,8 @@
     int maximumLinks = 1024;
     Duration handshakeTime = std::chrono::seconds(2);
     Duration sendTime = std::chrono::seconds(5);
+    /** Must outlive the server; null if this node shares no configuration. */
+    ChangesHandler *changes = nullptr;
 };
 
 /** Accepts the links of other nodes and runs their calls. */
--- a/modules/peer/server/serverlink.cpp
+++ b/modules/peer/server/serverlink.cpp
@@ -71,6 +71,8 @@
         cancel(cancelled->callId);
     } else if (const auto *question = std::get_if<OutcomeRequest>(&message)) {
         answerOutcome(*question);
+    } else if (const auto *changes = std::get_if<ChangesRequest>(&message)) {
+        answerChanges(*changes);
     }
 }
 
@@ -133,6 +135,16 @@
     m_environment.registry.query(question.attemptId, question.age, send);
 }
 
+void ServerLink::answerChanges(const ChangesRequest &question)
+{
+    ChangesResponse response;
+    if (m_environment.changes) {
+        response = m_environment.changes->changesAfter(question.afterVersion);
+    }
+    response.callId = question.callId;
+    m_channel->send(response);
+}
+
 void ServerLink::cancel(std::uint64_t callId)
 {
     std::shared_ptr<Cancellation> cancellation;
--- a/modules/peer/server/serverlink.h
+++ b/modules/peer/server/serverlink.h
@@ -3,6 +3,7 @@
 #include "peer/channel/messagechannel.h"
 #include "peer/server/callhandler.h"
 #include "peer/server/callregistry.h"
+#include "peer/server/changeshandler.h"
 #include "peer/server/workerpool.h"
 
 #include <functional>
@@ -21,6 +22,8 @@
     /** Stops the link that another node opened with this nonce from starting further calls. */
     std::function<void(const std::string &nonce)> revokeLink;
     std::uint64_t incarnation = 0;
+    /** Null if this node shares no configuration. */
+    ChangesHandler *changes = nullptr;
 };
 
 /** The serving side of one connection between nodes. Kept alive by its running calls. */
@@ -51,6 +54,7 @@
     void runCall(const CallRequest &request, TimePoint deadline, Cancellation &cancellation);
     void finish(const CallRequest &request, CallResponse response);
     void answerOutcome(const OutcomeRequest &question);
+    void answerChanges(const ChangesRequest &question);
     void cancel(std::uint64_t callId);
 
     std::unique_ptr<MessageChannel> m_channel;
