--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -77,10 +77,8 @@
     ++bin.requests;
     bin.succeeded += success ? 1 : 0;
     const Scenario &scenario = m_experiment.scenario;
-    // Answers to requests sent shortly before the trigger, or that waited for its end, say nothing about it.
-    const Duration unloaded =
-        (OwnTime + RoundTrip) * m_experiment.chain + std::chrono::duration_cast<Duration>(OwnTime * (scenario.deepSlowdown - 1.0));
-    if (inTrigger(firstSent) && now < WarmUp + TriggerLength + unloaded && success) {
+    // Answers to requests sent before the trigger, or that come after its end, say nothing about it.
+    if (inTrigger(firstSent) && inTrigger(now) && success) {
         m_served[account] += 1;
     }
     const bool calm = firstSent >= Learning && firstSent < WarmUp - deadlineOf(m_experiment.chain);
@@ -128,16 +126,30 @@
     return report;
 }
 
+Duration Measures::unloadedTime() const
+{
+    const auto slowdown = std::chrono::duration_cast<Duration>(OwnTime * (m_experiment.scenario.deepSlowdown - 1.0));
+    return (OwnTime + RoundTrip) * m_experiment.chain + slowdown;
+}
+
 double Measures::possible() const
 {
-    return capacity(m_experiment.deployment, m_experiment.scenario.deepSlowdown) * seconds(TriggerLength);
+    return capacity(m_experiment.deployment, m_experiment.scenario.deepSlowdown) * seconds(TriggerLength - unloadedTime());
+}
+
+Measures::PerAccount Measures::demand(Priority priority) const
+{
+    PerAccount scaled = m_demand[static_cast<std::size_t>(priority)];
+    for (double &it : scaled) {
+        it *= seconds(TriggerLength - unloadedTime()) / seconds(TriggerLength);
+    }
+    return scaled;
 }
 
 double Measures::goodput() const
 {
-    const double served = sum(m_served);
-    const double demand = sum(m_demand[0]) + sum(m_demand[1]);
-    return served / std::min(demand, possible());
+    const double wanted = sum(demand(Priority::Normal)) + sum(demand(Priority::Important));
+    return sum(m_served) / std::min(wanted, possible());
 }
 
 double Measures::recovery() const
@@ -157,8 +169,8 @@
 double Measures::worstServed() const
 {
     // Important requests come first, so the fair share of normal ones is a share of what they leave.
-    const auto important = fairShares(m_demand[1], possible());
-    const auto normal = fairShares(m_demand[0], possible() - sum(important));
+    const auto important = fairShares(demand(Priority::Important), possible());
+    const auto normal = fairShares(demand(Priority::Normal), possible() - sum(important));
     double worst = std::numeric_limits<double>::max();
     for (std::size_t n = 0; n < m_served.size(); ++n) {
         worst = std::min(worst, m_served[n] / (important[n] + normal[n]));
--- a/bench/policy/measures.h
+++ b/bench/policy/measures.h
@@ -47,14 +47,19 @@
     Report report() const;
 
 private:
+    using PerAccount = std::array<double, AccountRates.size()>;
     struct Count {
         std::uint64_t requests = 0;
         std::uint64_t succeeded = 0;
     };
 
     static bool inTrigger(Duration at);
-    /** Whole answers that the bottleneck can give during the trigger. */
+    /** Time of a request through the whole chain without load. */
+    Duration unloadedTime() const;
+    /** Whole answers that the bottleneck can give to requests sent during the trigger, before its end. */
     double possible() const;
+    /** Demand that could be answered before the end of the trigger. */
+    PerAccount demand(Priority priority) const;
     double goodput() const;
     double recovery() const;
     double worstServed() const;
@@ -63,7 +68,6 @@
     Experiment m_experiment;
     /** By time of first sending. */
     std::vector<Count> m_bins;
-    using PerAccount = std::array<double, AccountRates.size()>;
     /** Of requests sent during the trigger, by priority. */
     std::array<PerAccount, 2> m_demand{};
     PerAccount m_served{};
