Separate the node from the sources of its decisions and add routing and poison steps

Node takes its routes, keys, quota, upstreams and claims as interfaces; the standalone settings file and the fleet's tasks both fit behind them. A crashed upstream is noticed by its broken answer and a refused connection; suspected requests run alone and are refused after two crashes.

--- a/modules/http/upstream/upstreamclient.cpp
+++ b/modules/http/upstream/upstreamclient.cpp
@@ -39,6 +39,17 @@
 {
 }
 
+bool UpstreamClient::accepts() const
+{
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connect(m_address, timespan(m_limits.connectTime));
+        return true;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
 const Poco::Net::SocketAddress &UpstreamClient::address() const
 {
     return m_address;
--- a/modules/http/upstream/upstreamclient.h
+++ b/modules/http/upstream/upstreamclient.h
@@ -39,6 +39,9 @@
     tl::expected<HttpResponseMessage, Refusal>
     send(const HttpRequestMessage &request, bool idempotent, TimePoint deadline, Cancellation &cancellation);
 
+    /** Whether the upstream accepts a new connection. */
+    bool accepts() const;
+
     const Poco::Net::SocketAddress &address() const;
 
 private:
--- a/modules/node/chain/chainpipeline.cpp
+++ b/modules/node/chain/chainpipeline.cpp
@@ -61,7 +61,7 @@
     prepared.context.service = route->service;
     prepared.context.route = route->route;
     prepared.context.idempotent = route->idempotent;
-    prepared.context.deadline = std::min(above.deadline, m_clock.now() + route->deadline);
+    prepared.context.deadline = std::min(above.deadline, m_clock.now() + m_routes.limits(route->route, above.account).deadline);
     prepared.context.depth = above.depth + 1;
     if (const auto removed = removeKey(request, bearerKey(request.headers)); !removed) {
         return m_entry.refuse(notRun(RefusalReason::BadRequest, removed.error()));
--- a/modules/node/interfaces/routesource.h
+++ b/modules/node/interfaces/routesource.h
@@ -18,8 +18,14 @@
     /** Needs no key. */
     bool open = false;
     Priority priority = Priority::Normal;
-    Duration deadline = std::chrono::seconds(10);
-    /** Retries for the whole chain below a caller's request. */
+};
+
+/** Deadline and retries of one account's requests on a route. */
+struct RouteLimits {
+    Duration deadline = std::chrono::seconds(2);
+    /** Upper bound of a deadline that the caller asks for. */
+    Duration maximumDeadline = std::chrono::seconds(30);
+    /** For the whole chain below a caller's request. */
     std::uint32_t retries = 2;
 };
 
@@ -29,8 +35,10 @@
 public:
     virtual ~RouteSource() = default;
 
-    /** @param path the target without its query */
+    /** @param path the target without its query, and without dot segments */
     virtual std::optional<RouteMatch> match(std::string_view method, std::string_view path) const = 0;
+
+    virtual RouteLimits limits(const RouteName &route, const AccountName &account) const = 0;
 };
 
 } // namespace Pimentohollow
--- a/modules/node/interfaces/upstreamsource.h
+++ b/modules/node/interfaces/upstreamsource.h
@@ -26,11 +26,14 @@
 public:
     virtual ~UpstreamSource() = default;
 
+    /** False if the service would refuse the request anyway; asked once, before the first attempt. */
+    virtual bool admits(const RequestContext &context) = 0;
+
     /** An upstream of the request's service that isn't in @p tried; the attempt there begins now. */
     virtual std::optional<UpstreamTarget> choose(const RequestContext &context, const std::vector<NodeName> &tried) = 0;
 
     /** Whether choose() would find one. */
-    virtual bool hasOther(const RequestContext &context, const std::vector<NodeName> &tried) const = 0;
+    virtual bool hasOther(const RequestContext &context, const std::vector<NodeName> &tried) = 0;
 
     /** Reports how a call to a chosen upstream ended. */
     virtual void finished(const RequestContext &context, const UpstreamTarget &target, const CallResponse &response, Duration took) = 0;
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -3,7 +3,6 @@
 #include "core/logger.h"
 
 #include <fmt/format.h>
-#include <random>
 #include <thread>
 
 namespace Pimentohollow
@@ -17,16 +16,10 @@
 /** Room for the headers and the frame around a body of the accepted size. */
 constexpr std::size_t FrameOverheadBytes = 256 * 1024;
 
-std::uint64_t randomIncarnation()
-{
-    std::random_device source;
-    return (static_cast<std::uint64_t>(source()) << 32U) | source();
-}
-
-UpstreamLimits upstreamLimits(const LocalSettings &settings)
+UpstreamLimits upstreamLimits(const NodeOptions &options)
 {
     UpstreamLimits limits;
-    limits.maximumBodyBytes = settings.limits.maximumBodyBytes;
+    limits.maximumBodyBytes = options.limits.maximumBodyBytes;
     return limits;
 }
 
@@ -48,21 +41,20 @@
 
 } // namespace
 
-Node::Node(LocalSettings settings)
-    : m_settings(std::move(settings))
-    , m_codec(m_settings.fleetSecret, m_settings.limits.maximumBodyBytes + FrameOverheadBytes)
-    , m_self{ m_settings.node, randomIncarnation(), {} }
-    , m_routes(m_settings.routes)
-    , m_keys(m_settings.accountsByKey)
-    , m_upstreams(m_settings.upstreams)
-    , m_upstream(m_clock, upstreamLimits(m_settings))
+Node::Node(NodeOptions options, const NodeParts &parts)
+    : m_options(std::move(options))
+    , m_changes(parts.changes)
+    , m_codec(m_options.fleetSecret, m_options.limits.maximumBodyBytes + FrameOverheadBytes)
+    , m_self{ m_options.node, m_options.incarnation, {} }
+    , m_upstream(m_clock, upstreamLimits(m_options))
     , m_retryAfter(m_self.incarnation)
     , m_admission(m_clock, admissionSettings(m_retryAfter))
+    , m_poison(m_options.node, m_clock)
     , m_peers(m_codec, poolOptions(m_self))
-    , m_serving(m_clock, m_upstream, m_admission, m_inFlight, nullptr, m_metrics)
-    , m_forwarder(m_clock, m_settings.node, m_upstreams, m_peers, m_serving, m_metrics)
-    , m_entry(m_clock, m_routes, m_keys, m_quota, m_forwarder, m_retryAfter, m_metrics)
-    , m_chain(m_clock, m_routes, m_inFlight, m_entry, m_forwarder)
+    , m_serving(m_clock, m_upstream, m_admission, m_inFlight, m_poison, parts.claims, m_metrics)
+    , m_forwarder(m_clock, m_options.node, parts.upstreams, m_peers, m_serving, m_metrics)
+    , m_entry(m_clock, parts.routes, parts.keys, parts.quota, m_forwarder, m_retryAfter, m_metrics)
+    , m_chain(m_clock, parts.routes, m_inFlight, m_entry, m_forwarder)
     , m_announce(m_upstream,
                  [this] {
                      m_admission.restart();
@@ -77,38 +69,77 @@
 
 Result<void> Node::start()
 {
-    ListenerOptions caller = loopbackOptions(m_settings.listeners.caller);
-    caller.tls = m_settings.tls;
-    ListenerOptions admin = loopbackOptions(m_settings.listeners.admin);
-    admin.tls = m_settings.tls;
-    const ListenerOptions chain = loopbackOptions(m_settings.listeners.chain);
-    const ListenerOptions announce = loopbackOptions(m_settings.listeners.announce);
+    const ListenerAddresses &addresses = m_options.listeners;
     // The caller listener comes last, so that a request finds everything else in place.
-    return startListener(m_adminServer, "admin", admin, m_admin)
+    return startListener(m_adminServer, "admin", listenerOptions(addresses.admin, m_options.adminTls), m_admin)
         .and_then([&] {
             return startPeerServer();
         })
         .and_then([&] {
-            return startListener(m_chainServer, "chain", chain, m_chain);
+            return startListener(m_chainServer, "chain", listenerOptions(addresses.chain, std::nullopt), m_chain);
         })
         .and_then([&] {
-            return startListener(m_announceServer, "announce", announce, m_announce);
+            return startListener(m_announceServer, "announce", listenerOptions(addresses.announce, std::nullopt), m_announce);
         })
         .and_then([&] {
-            return startListener(m_callerServer, "caller", caller, m_entry);
+            return startListener(m_callerServer, "caller", listenerOptions(addresses.caller, m_options.callerTls), m_entry);
         })
         .map([this] {
-            m_metrics.gauge("pimentohollow_caller_connections", [this] {
-                return static_cast<double>(m_callerServer->connectionCount());
-            });
-            m_metrics.gauge("pimentohollow_upstream_present", [this] {
-                const auto upstream = m_upstream.current();
-                return upstream && upstream->state != UpstreamState::Gone ? 1.0 : 0.0;
-            });
-            m_ready = true;
+            addGauges();
         });
 }
 
+void Node::setReady(bool ready)
+{
+    m_ready = ready;
+}
+
+int Node::peerPort() const
+{
+    return m_peerServer->port();
+}
+
+const Clock &Node::clock() const
+{
+    return m_clock;
+}
+
+MetricRegistry &Node::metrics()
+{
+    return m_metrics;
+}
+
+PeerPool &Node::peers()
+{
+    return m_peers;
+}
+
+AnnouncedUpstream &Node::upstream()
+{
+    return m_upstream;
+}
+
+AdmissionGate &Node::admission()
+{
+    return m_admission;
+}
+
+PoisonGuard &Node::poison()
+{
+    return m_poison;
+}
+
+void Node::addGauges()
+{
+    m_metrics.gauge("pimentohollow_caller_connections", [this] {
+        return static_cast<double>(m_callerServer->connectionCount());
+    });
+    m_metrics.gauge("pimentohollow_upstream_present", [this] {
+        const auto upstream = m_upstream.current();
+        return upstream && upstream->state != UpstreamState::Gone ? 1.0 : 0.0;
+    });
+}
+
 bool Node::shutDown()
 {
     Log.info("draining");
@@ -117,8 +148,8 @@
     m_peerServer->beginDrain();
     m_callerServer->beginDrain();
     // Connections that arrive before callers and peers know are still served.
-    std::this_thread::sleep_for(m_settings.drainGrace);
-    const TimePoint deadline = m_clock.now() + m_settings.drainTime;
+    std::this_thread::sleep_for(m_options.drainGrace);
+    const TimePoint deadline = m_clock.now() + m_options.drainTime;
     const bool callersDone = m_callerServer->finishDrain(deadline);
     const bool peersDone = m_peerServer->waitUntilIdle(deadline);
     const bool chainDone = m_chainServer->finishDrain(deadline);
@@ -130,8 +161,9 @@
 Result<void> Node::startPeerServer()
 {
     PeerServerOptions options;
-    options.address = m_settings.listeners.peer;
+    options.address = m_options.listeners.peer;
     options.self = m_self;
+    options.changes = m_changes;
     auto started = PeerServer::start(options, m_codec, m_serving, m_clock);
     if (!started) {
         return tl::unexpected(started.error());
@@ -153,11 +185,14 @@
     return {};
 }
 
-ListenerOptions Node::loopbackOptions(const std::string &address) const
+ListenerOptions Node::listenerOptions(const std::string &address, const std::optional<TlsFiles> &tls) const
 {
     ListenerOptions options;
     options.address = address;
-    options.limits = m_settings.limits;
+    options.tls = tls;
+    options.limits = m_options.limits;
+    options.maximumConnections = m_options.maximumConnections;
+    options.idleTime = m_options.idleTime;
     return options;
 }
 
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -1,13 +1,17 @@
 /**
  * @file
- * Public parts of the module node: assembly of the tasks of one node process.
+ * Public parts of the module node: assembly of the listeners, links and pipelines of one node process.
  */
 #pragma once
 
 #include "core/systemclock.h"
 #include "node/admin/adminhandler.h"
 #include "node/chain/chainpipeline.h"
+#include "node/fleet/fleetsources.h"
+#include "node/nodeoptions.h"
 #include "node/pipeline/entrypipeline.h"
+#include "node/poison/poisonguard.h"
+#include "node/routing/routedupstreams.h"
 #include "node/settings/staticsources.h"
 #include "node/upstream/announcehandler.h"
 #include "peer/peer.h"
@@ -19,36 +23,46 @@
 class Node
 {
 public:
-    explicit Node(LocalSettings settings);
+    Node(NodeOptions options, const NodeParts &parts);
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
 
-    /** Opens all listeners and logs their ports. */
+    /** Opens all listeners and logs their ports. The node isn't ready yet. */
     Result<void> start();
 
-    /** Finishes all requests; false if some were left after the time limit of the settings. */
+    /** Whether /readyz sends callers here. */
+    void setReady(bool ready);
+
+    /** Finishes all requests; false if some were left after the time limit of the options. */
     bool shutDown();
 
+    int peerPort() const;
+    const Clock &clock() const;
+    MetricRegistry &metrics();
+    PeerPool &peers();
+    AnnouncedUpstream &upstream();
+    AdmissionGate &admission();
+    PoisonGuard &poison();
+
 private:
     Result<void> startPeerServer();
     Result<void>
     startListener(std::unique_ptr<CallerServer> &server, std::string_view name, ListenerOptions options, RequestHandler &handler);
-    ListenerOptions loopbackOptions(const std::string &address) const;
+    ListenerOptions listenerOptions(const std::string &address, const std::optional<TlsFiles> &tls) const;
+    void addGauges();
 
-    LocalSettings m_settings;
+    NodeOptions m_options;
+    ChangesHandler *m_changes;
     SystemClock m_clock;
     MetricRegistry m_metrics;
     FrameCodec m_codec;
     Hello m_self;
     std::atomic<bool> m_ready{ false };
-    StaticRoutes m_routes;
-    StaticKeys m_keys;
-    UnlimitedQuota m_quota;
-    StaticUpstreams m_upstreams;
     AnnouncedUpstream m_upstream;
     RetryAfterSource m_retryAfter;
     AdmissionGate m_admission;
+    PoisonGuard m_poison;
     InFlightTable m_inFlight;
     PeerPool m_peers;
     ServingPipeline m_serving;
--- a/modules/node/pipeline/entrypipeline.cpp
+++ b/modules/node/pipeline/entrypipeline.cpp
@@ -16,14 +16,14 @@
 constexpr std::string_view InternalPrefix = "Pimentohollow-";
 constexpr std::string_view IdempotencyKeyHeader = "Idempotency-Key";
 
-Duration deadlineOf(const RouteMatch &route, const HttpHeaders &headers)
+Duration deadlineOf(const RouteLimits &limits, const HttpHeaders &headers)
 {
     const std::string *text = findHeader(headers, CallerTimeoutHeader);
     std::uint32_t millis = 0;
     if (text == nullptr || std::from_chars(text->data(), text->data() + text->size(), millis).ptr != text->data() + text->size()) {
-        return route.deadline;
+        return limits.deadline;
     }
-    return std::min<Duration>(route.deadline, std::chrono::milliseconds(millis));
+    return std::min<Duration>(limits.maximumDeadline, std::chrono::milliseconds(millis));
 }
 
 std::string_view pathOf(std::string_view target)
@@ -133,8 +133,9 @@
     prepared.context.route = route->route;
     prepared.context.priority = route->priority;
     prepared.context.idempotent = route->idempotent;
-    prepared.context.deadline = m_clock.now() + deadlineOf(*route, request.headers);
-    prepared.context.retriesLeft = route->retries;
+    const RouteLimits limits = m_routes.limits(route->route, *account);
+    prepared.context.deadline = m_clock.now() + deadlineOf(limits, request.headers);
+    prepared.context.retriesLeft = limits.retries;
     if (const auto removed = removeKey(request, key); !removed) {
         return tl::unexpected(notRun(RefusalReason::BadRequest, removed.error()));
     }
--- a/modules/node/pipeline/entrypipeline.h
+++ b/modules/node/pipeline/entrypipeline.h
@@ -10,7 +10,7 @@
 namespace Pimentohollow
 {
 
-/** Header with which a caller shortens the deadline of its route, in milliseconds. */
+/** Header with which a caller asks for another deadline than that of its route, in milliseconds. */
 inline constexpr std::string_view CallerTimeoutHeader = "Pimentohollow-Timeout-Ms";
 
 /** Serves the requests of callers: route, key, removal of the key, forwarding, answer. */
--- a/modules/node/pipeline/forwarder.cpp
+++ b/modules/node/pipeline/forwarder.cpp
@@ -44,6 +44,9 @@
 ForwardedAnswer Forwarder::forward(const PreparedRequest &request, Cancellation &cancellation)
 {
     const RequestContext &context = request.context;
+    if (!m_upstreams.admits(context)) {
+        return { Refusal{ RefusalReason::Overloaded, RunState::NotRun, {}, "the service is overloaded" }, context.retriesLeft };
+    }
     RetryBudget budget(context.retriesLeft);
     {
         const std::lock_guard lock(m_mutex);
--- a/modules/node/pipeline/servingpipeline.cpp
+++ b/modules/node/pipeline/servingpipeline.cpp
@@ -44,12 +44,14 @@
                                  AnnouncedUpstream &upstream,
                                  AdmissionGate &admission,
                                  InFlightTable &inFlight,
+                                 PoisonGuard &poison,
                                  ClaimService *claims,
                                  MetricRegistry &metrics)
     : m_clock(clock)
     , m_upstream(upstream)
     , m_admission(admission)
     , m_inFlight(inFlight)
+    , m_poison(poison)
     , m_claims(claims)
     , m_metrics(metrics)
     , m_upstreamTime(metrics.histogram("pimentohollow_upstream_seconds"))
@@ -82,7 +84,9 @@
     const std::string traceId = traceIdOf(findHeader(request.request.headers, "traceparent"));
     InFlightTable::Entry entry(m_inFlight, id, std::make_shared<InFlightRequest>(contextOf(request, deadline), traceId));
     setHeader(request.request.headers, RequestIdHeader, id);
-    CallResult result = runAdmitted({ request, entry.request(), *client }, cancellation);
+    const auto announced = m_upstream.current();
+    const std::uint64_t incarnation = announced ? announced->incarnation : 0;
+    CallResult result = runAdmitted({ request, entry.request(), *client, incarnation }, cancellation);
     // Taken, not read, so that a child call that arrives now can't spend them a second time.
     return { request.callId, std::move(result), entry.request().takeRetries(), record() };
 }
@@ -96,7 +100,10 @@
     const auto run = [this, &work, &cancellation] {
         return runAtUpstream(work, cancellation);
     };
-    CallResult result = ClaimStep::applies(work.request) ? m_claims.run(work, *slot, run, cancellation) : run();
+    const auto runOnce = [&] {
+        return ClaimStep::applies(work.request) ? m_claims.run(work, *slot, run, cancellation) : run();
+    };
+    CallResult result = m_poison.run(work, runOnce);
     slot->finish({ workResult(result, work.inFlight), work.inFlight.childTime() });
     return result;
 }
--- a/modules/node/pipeline/servingpipeline.h
+++ b/modules/node/pipeline/servingpipeline.h
@@ -4,6 +4,7 @@
 #include "node/admission/admissiongate.h"
 #include "node/chain/inflighttable.h"
 #include "node/pipeline/claimstep.h"
+#include "node/poison/poisonstep.h"
 #include "node/upstream/announcedupstream.h"
 #include "peer/server/callhandler.h"
 
@@ -25,6 +26,7 @@
                     AnnouncedUpstream &upstream,
                     AdmissionGate &admission,
                     InFlightTable &inFlight,
+                    PoisonGuard &poison,
                     ClaimService *claims,
                     MetricRegistry &metrics);
 
@@ -45,6 +47,7 @@
     AnnouncedUpstream &m_upstream;
     AdmissionGate &m_admission;
     InFlightTable &m_inFlight;
+    PoisonStep m_poison;
     ClaimStep m_claims;
     MetricRegistry &m_metrics;
     LatencyHistogram &m_upstreamTime;
--- a/modules/node/pipeline/upstreamwork.h
+++ b/modules/node/pipeline/upstreamwork.h
@@ -12,6 +12,8 @@
     CallRequest &request;
     InFlightRequest &inFlight;
     UpstreamClient &client;
+    /** The upstream process that the client is connected to. */
+    std::uint64_t upstreamIncarnation = 0;
 };
 
 } // namespace Pimentohollow
--- a/modules/node/settings/localsettings.cpp
+++ b/modules/node/settings/localsettings.cpp
@@ -51,27 +51,35 @@
     route.match.service = ServiceName(node["service"].as<std::string>());
     readInto(node, "idempotent", route.match.idempotent);
     readInto(node, "open", route.match.open);
-    readInto(node, "retries", route.match.retries);
-    readMillis(node, "deadline_ms", route.match.deadline);
+    readInto(node, "retries", route.limits.retries);
+    readMillis(node, "deadline_ms", route.limits.deadline);
     std::string priority = "normal";
     readInto(node, "priority", priority);
     route.match.priority = PriorityNames.value(priority).value_or(Priority::Normal);
     return route;
 }
 
-LocalSettings readSettings(const YAML::Node &root)
+NodeOptions readNode(const YAML::Node &root)
 {
-    LocalSettings settings;
-    settings.node = NodeName(root["node"].as<std::string>());
-    settings.dataCentre = DataCentreName(root["data_centre"].as<std::string>());
-    settings.fleetSecret = root["fleet_secret"].as<std::string>();
-    readListeners(root["listeners"], settings.listeners);
-    readLimits(root["limits"], settings.limits);
-    readMillis(root, "drain_grace_ms", settings.drainGrace);
-    readMillis(root, "drain_ms", settings.drainTime);
+    NodeOptions options;
+    options.node = NodeName(root["node"].as<std::string>());
+    options.dataCentre = DataCentreName(root["data_centre"].as<std::string>());
+    options.fleetSecret = root["fleet_secret"].as<std::string>();
+    readListeners(root["listeners"], options.listeners);
+    readLimits(root["limits"], options.limits);
+    readMillis(root, "drain_grace_ms", options.drainGrace);
+    readMillis(root, "drain_ms", options.drainTime);
     if (const auto tls = root["tls"]) {
-        settings.tls = TlsFiles{ tls["certificate"].as<std::string>(), tls["key"].as<std::string>() };
+        options.callerTls = TlsFiles{ tls["certificate"].as<std::string>(), tls["key"].as<std::string>() };
+        options.adminTls = options.callerTls;
     }
+    return options;
+}
+
+LocalSettings readSettings(const YAML::Node &root)
+{
+    LocalSettings settings;
+    settings.node = readNode(root);
     for (const auto &it : root["routes"]) {
         settings.routes.push_back(readRoute(it));
     }
@@ -91,7 +99,7 @@
 {
     try {
         LocalSettings settings = readSettings(YAML::Load(yaml));
-        if (settings.node.empty() || settings.fleetSecret.empty()) {
+        if (settings.node.node.empty() || settings.node.fleetSecret.empty()) {
             return failure(ErrorKind::InvalidInput, "settings.parse", "node and fleet_secret must not be empty");
         }
         return settings;
--- a/modules/node/settings/staticsources.cpp
+++ b/modules/node/settings/staticsources.cpp
@@ -22,6 +22,16 @@
     return best == nullptr ? std::nullopt : std::optional(best->match);
 }
 
+RouteLimits StaticRoutes::limits(const RouteName &route, const AccountName & /*account*/) const
+{
+    for (const auto &it : m_routes) {
+        if (it.match.route == route) {
+            return it.limits;
+        }
+    }
+    return {};
+}
+
 StaticKeys::StaticKeys(std::map<std::string, AccountName> accountsByKey)
     : m_accountsByKey(std::move(accountsByKey))
 {
@@ -38,12 +48,17 @@
 {
 }
 
+bool StaticUpstreams::admits(const RequestContext & /*context*/)
+{
+    return true;
+}
+
 std::optional<UpstreamTarget> StaticUpstreams::choose(const RequestContext &context, const std::vector<NodeName> &tried)
 {
     return find(m_next++, context.service, tried);
 }
 
-bool StaticUpstreams::hasOther(const RequestContext &context, const std::vector<NodeName> &tried) const
+bool StaticUpstreams::hasOther(const RequestContext &context, const std::vector<NodeName> &tried)
 {
     return find(0, context.service, tried).has_value();
 }
--- a/modules/node/settings/staticsources.h
+++ b/modules/node/settings/staticsources.h
@@ -14,6 +14,7 @@
     explicit StaticRoutes(std::vector<StaticRoute> routes);
 
     std::optional<RouteMatch> match(std::string_view method, std::string_view path) const override;
+    RouteLimits limits(const RouteName &route, const AccountName &account) const override;
 
 private:
     std::vector<StaticRoute> m_routes;
@@ -37,8 +38,9 @@
 public:
     explicit StaticUpstreams(std::vector<StaticUpstream> upstreams);
 
+    bool admits(const RequestContext &context) override;
     std::optional<UpstreamTarget> choose(const RequestContext &context, const std::vector<NodeName> &tried) override;
-    bool hasOther(const RequestContext &context, const std::vector<NodeName> &tried) const override;
+    bool hasOther(const RequestContext &context, const std::vector<NodeName> &tried) override;
     void finished(const RequestContext &context, const UpstreamTarget &target, const CallResponse &response, Duration took) override;
 
 private:
--- a/modules/node/tests/servingpipelinetest.cpp
+++ b/modules/node/tests/servingpipelinetest.cpp
@@ -107,10 +107,11 @@
     AnnouncedUpstream upstream{ clock, {} };
     AdmissionGate admission{ clock, AdmissionSettings{} };
     InFlightTable inFlight;
+    PoisonGuard poison{ NodeName("b"), clock };
     MetricRegistry metrics;
     ScriptedClaims claims;
     Cancellation cancellation;
-    ServingPipeline pipeline{ clock, upstream, admission, inFlight, &claims, metrics };
+    ServingPipeline pipeline{ clock, upstream, admission, inFlight, poison, &claims, metrics };
 };
 
 } // namespace
@@ -144,7 +145,7 @@
     EXPECT_EQ(refusalOf(serve(order("k1"))).ran, RunState::NotRun);
     claims.verdict = Refusal{ RefusalReason::InProgress, RunState::NotRun, 1s, "" };
     EXPECT_EQ(refusalOf(serve(order("k1"))).reason, RefusalReason::InProgress);
-    ServingPipeline withoutPlatform(clock, upstream, admission, inFlight, nullptr, metrics);
+    ServingPipeline withoutPlatform(clock, upstream, admission, inFlight, poison, nullptr, metrics);
     const auto refused = withoutPlatform.handle(order("k1"), clock.now() + 5s, cancellation).result;
     EXPECT_EQ(refusalOf(refused).reason, RefusalReason::PlatformUnavailable);
     EXPECT_EQ(handler.runs, 0);
--- a/programs/pimentohollow/main.cpp
+++ b/programs/pimentohollow/main.cpp
@@ -11,14 +11,14 @@
 constexpr const char *Usage = R"(The node of pimentohollow, placed beside one upstream.
 
 Usage:
-  pimentohollow --settings=FILE
+  pimentohollow --standalone=FILE
   pimentohollow (-h | --help)
   pimentohollow --version
 
 Options:
-  --settings=FILE  YAML file with the settings of this node.
-  -h --help        Show this text.
-  --version        Show the version.
+  --standalone=FILE  YAML file with the settings, routes, keys and upstreams of a node without platform.
+  -h --help          Show this text.
+  --version          Show the version.
 
 SIGTERM or SIGINT finishes all requests and ends the process; a second one ends it at once.
 )";
@@ -35,6 +35,13 @@
     return signals;
 }
 
+/** Milliseconds of the wall clock: above that of an earlier process of this node. */
+std::uint64_t currentIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 int run(const std::string &settingsFile)
 {
     using namespace Pimentohollow;
@@ -45,11 +52,17 @@
         log.error("settings_invalid", { { "error", settings.error().describe() } });
         return 2;
     }
-    Node node(std::move(*settings));
+    settings->node.incarnation = currentIncarnation();
+    const StaticRoutes routes(settings->routes);
+    const StaticKeys keys(settings->accountsByKey);
+    UnlimitedQuota quota;
+    StaticUpstreams upstreams(settings->upstreams);
+    Node node(settings->node, { routes, keys, quota, upstreams });
     if (const auto started = node.start(); !started) {
         log.error("start_failed", { { "error", started.error().describe() } });
         return 1;
     }
+    node.setReady(true);
     log.info("started");
     int signal = 0;
     sigwait(&signals, &signal);
@@ -64,5 +77,5 @@
 int main(int argc, char **argv)
 {
     const auto arguments = docopt::docopt(Usage, { argv + 1, argv + argc }, true, "pimentohollow 0.1.0");
-    return run(arguments.at("--settings").asString());
+    return run(arguments.at("--standalone").asString());
 }
--- a/testing/process/support/testfleet.cpp
+++ b/testing/process/support/testfleet.cpp
@@ -74,7 +74,7 @@
         file << upstreamLine(it);
     }
     file.close();
-    auto node = std::make_unique<ChildProcess>("pimentohollow", std::vector<std::string>{ "--settings=" + path });
+    auto node = std::make_unique<ChildProcess>("pimentohollow", std::vector<std::string>{ "--standalone=" + path });
     node->port("caller");
     return node;
 }
