--- a/modules/http/upstream/upstreamclient.cpp
+++ b/modules/http/upstream/upstreamclient.cpp
@@ -39,12 +39,13 @@
 {
 }
 
-bool UpstreamClient::accepts() const
+bool UpstreamClient::acceptsConnections() const
 {
     try {
         Poco::Net::StreamSocket socket;
         socket.connect(m_address, timespan(m_limits.connectTime));
-        return true;
+        const bool closed = waitReadable(socket.impl()->sockfd(), std::chrono::steady_clock::now() + ProbeTime);
+        return !closed;
     } catch (const Poco::Exception &) {
         return false;
     }
--- a/modules/http/upstream/upstreamclient.h
+++ b/modules/http/upstream/upstreamclient.h
@@ -39,8 +39,11 @@
     tl::expected<HttpResponseMessage, Refusal>
     send(const HttpRequestMessage &request, bool idempotent, TimePoint deadline, Cancellation &cancellation);
 
-    /** Whether the upstream accepts a new connection. */
-    bool accepts() const;
+    /** Whether the upstream accepts a new connection and keeps it open for a moment; takes ProbeTime if it does. */
+    bool acceptsConnections() const;
+
+    /** A process that is ending may still accept a connection and close it a moment later. */
+    static constexpr Duration ProbeTime = std::chrono::milliseconds(50);
 
     const Poco::Net::SocketAddress &address() const;
 
--- a/modules/node/poison/poisonstep.cpp
+++ b/modules/node/poison/poisonstep.cpp
@@ -6,11 +6,12 @@
 namespace
 {
 
-/** An answer that broke off because the process died: it accepts no new connection either. */
+/** An answer that broke off because the process died: it keeps no new connection either. */
 bool upstreamCrashed(const CallResult &result, const UpstreamClient &client)
 {
     const auto *refusal = std::get_if<Refusal>(&result);
-    return refusal != nullptr && refusal->reason == RefusalReason::UpstreamFailed && refusal->ran == RunState::Unknown && !client.accepts();
+    return refusal != nullptr && refusal->reason == RefusalReason::UpstreamFailed && refusal->ran == RunState::Unknown
+        && !client.acceptsConnections();
 }
 
 } // namespace
