--- a/modules/runtime/runtime.h
+++ b/modules/runtime/runtime.h
@@ -6,4 +6,5 @@
 #pragma once
 
 #include "runtime/claims/claimtask.h"
+#include "runtime/configuration/configurationtask.h"
 #include "runtime/gossip/gossiptask.h"
