Lengthen the queue and bound it by the wait of each account

Cause: a limit that falls stops all starts for a moment, and the 100 ms bound then cost requests of accounts within their rate; important requests were shed from queues of 16. Change: normal requests wait at most 150 ms in a queue of 300 ms; important ones lengthen the queue; a request is refused when less than the mean time of its route is left (before: half of it, which started work that then timed out).

--- a/modules/admission/admissioncontroller.cpp
+++ b/modules/admission/admissioncontroller.cpp
@@ -12,8 +12,6 @@
 
 /** Weight of a new measurement in the time of a route. */
 constexpr double RouteTimeWeight = 0.1;
-/** Share of the mean time below which hardly any request finishes; the mean itself would refuse half of those that fit. */
-constexpr double ShortestTimeShare = 0.5;
 /** A time without new measurements is halved at this interval; otherwise a slow-down would refuse all requests for ever. */
 constexpr Duration RouteTimeHalfLife = std::chrono::milliseconds(500);
 
@@ -72,7 +70,7 @@
     Submission result{ Queued{}, {} };
     std::optional<AdmissionTicket> displaced;
     bool refused = waitsTooLong(context, now);
-    if (!refused && m_queue.size() >= queueCapacity()) {
+    if (!refused && queueFull(context.priority)) {
         displaced = m_queue.displaceFor(context.account, context.priority);
         refused = !displaced;
     }
@@ -300,14 +298,21 @@
     return now + wait + expectedTime(context.route, now) >= context.deadline;
 }
 
-std::size_t AdmissionController::queueCapacity() const
+bool AdmissionController::queueFull(Priority priority) const
 {
-    const auto rate = m_shares.completionRate();
-    if (!rate) {
-        return std::clamp<std::size_t>(limit(), m_settings.shortestQueue, m_settings.longestQueue);
+    if (m_queue.size() < queueCapacity(m_settings.queueTime)) {
+        return false;
     }
-    const double length = *rate * std::chrono::duration<double>(m_settings.longestWait).count();
-    return std::clamp(static_cast<std::size_t>(length), m_settings.shortestQueue, m_settings.longestQueue);
+    // An important request first displaces normal ones and only then lengthens the queue.
+    const bool mayLengthen = priority == Priority::Important && m_queue.size(Priority::Normal) == 0;
+    return !mayLengthen || m_queue.size() >= queueCapacity(m_settings.importantQueueTime);
+}
+
+std::size_t AdmissionController::queueCapacity(Duration queueTime) const
+{
+    const auto rate = m_shares.completionRate();
+    const double wanted = rate ? *rate * std::chrono::duration<double>(queueTime).count() : limit();
+    return std::clamp(static_cast<std::size_t>(wanted), m_settings.shortestQueue, m_settings.longestQueue);
 }
 
 Duration AdmissionController::expectedTime(const RouteName &route, TimePoint now) const
@@ -317,7 +322,7 @@
         return Duration::zero();
     }
     const double idle = std::chrono::duration<double>(now - found->second.updated) / std::chrono::duration<double>(RouteTimeHalfLife);
-    return Duration(static_cast<Duration::rep>(found->second.mean * ShortestTimeShare * std::exp2(-idle)));
+    return Duration(static_cast<Duration::rep>(found->second.mean * std::exp2(-idle)));
 }
 
 void AdmissionController::learnTime(const RouteName &route, Duration time, TimePoint now)
--- a/modules/admission/admissioncontroller.h
+++ b/modules/admission/admissioncontroller.h
@@ -147,7 +147,8 @@
     Refusal refusal(RefusalReason reason, Priority priority, TimePoint now);
     void refuseWaiting(AdmissionTicket ticket, RefusalReason reason, Schedule &schedule, TimePoint now);
     bool waitsTooLong(const RequestContext &context, TimePoint now) const;
-    std::size_t queueCapacity() const;
+    bool queueFull(Priority priority) const;
+    std::size_t queueCapacity(Duration queueTime) const;
     Duration expectedTime(const RouteName &route, TimePoint now) const;
     void learnTime(const RouteName &route, Duration time, TimePoint now);
 
--- a/modules/admission/admissionsettings.h
+++ b/modules/admission/admissionsettings.h
@@ -24,8 +24,15 @@
     LimitSettings limit = GradientLimitSettings{};
     FairQueueSettings queue;
     ShareSettings shares;
-    /** Longest wait of a normal request, and the length of the queue in time at the current rate of completions. */
-    Duration longestWait = std::chrono::milliseconds(100);
+    /** Length of the queue in time, at the current rate of completions. */
+    Duration queueTime = std::chrono::milliseconds(300);
+    /** The same for important requests, which lengthen the queue when no normal one is left to displace. */
+    Duration importantQueueTime = std::chrono::milliseconds(300);
+    /**
+     * Longest wait of a normal request. Shorter than queueTime, so that the backlog of each account is bounded by its own
+     * wait: a queue that is always full looks the same on all nodes, and callers can't choose the less loaded one.
+     */
+    Duration longestWait = std::chrono::milliseconds(150);
     /** Bounds of the queue in requests, whatever the rate of completions. */
     std::size_t shortestQueue = 16;
     std::size_t longestQueue = 4096;
