Expect most requests to take the mean time plus two deviations

Cause: requests started with the mean time left, and a third of them then timed out in the upstream. The benchmark counts a shed request only at the service that refused it, not at the parents that ran.

--- a/bench/policy/simulationcalls.cpp
+++ b/bench/policy/simulationcalls.cpp
@@ -244,9 +244,9 @@
         return;
     }
     Request &request = m_requests[index];
-    const RefusalReason reason = request.calls[level].failure;
-    const bool shed =
-        reason == RefusalReason::Overloaded || reason == RefusalReason::DownstreamOverloaded || reason == RefusalReason::UpstreamFailed;
+    const Call &call = request.calls[level];
+    // A parent whose child call was shed has run; only the service that refused the call has shed it.
+    const bool shed = call.ran == RunState::NotRun && call.failure != RefusalReason::DeadlineExceeded;
     if (shed && request.caller.priority == Priority::Important) {
         m_measures.importantShed(m_now, level);
     }
--- a/modules/admission/admissioncontroller.cpp
+++ b/modules/admission/admissioncontroller.cpp
@@ -12,6 +12,8 @@
 
 /** Weight of a new measurement in the time of a route. */
 constexpr double RouteTimeWeight = 0.1;
+/** Mean deviations above the mean within which most requests finish, as in the retransmission timeout of TCP (RFC 6298). */
+constexpr double LikelyDeviations = 2.0;
 /** A time without new measurements is halved at this interval; otherwise a slow-down would refuse all requests for ever. */
 constexpr Duration RouteTimeHalfLife = std::chrono::milliseconds(500);
 
@@ -322,14 +324,19 @@
         return Duration::zero();
     }
     const double idle = std::chrono::duration<double>(now - found->second.updated) / std::chrono::duration<double>(RouteTimeHalfLife);
-    return Duration(static_cast<Duration::rep>(found->second.mean * std::exp2(-idle)));
+    const double likely = found->second.mean + LikelyDeviations * found->second.deviation;
+    return Duration(static_cast<Duration::rep>(likely * std::exp2(-idle)));
 }
 
 void AdmissionController::learnTime(const RouteName &route, Duration time, TimePoint now)
 {
     RouteTime &it = m_routeTimes[route];
     const auto measured = static_cast<double>(time.count());
-    it.mean = it.mean == 0 ? measured : it.mean + RouteTimeWeight * (measured - it.mean);
+    if (it.mean == 0) {
+        it.mean = measured;
+    }
+    it.deviation += RouteTimeWeight * (std::abs(measured - it.mean) - it.deviation);
+    it.mean += RouteTimeWeight * (measured - it.mean);
     it.updated = now;
 }
 
--- a/modules/admission/admissioncontroller.h
+++ b/modules/admission/admissioncontroller.h
@@ -132,9 +132,11 @@
         TimePoint startedAt{};
         std::uint32_t inFlightAtStart = 0;
     };
-    /** Moving average of the time in the upstream, for one route. */
+    /** Time in the upstream, for one route: moving averages in nanoseconds. */
     struct RouteTime {
         double mean = 0;
+        /** Moving average of the distance from the mean. */
+        double deviation = 0;
         TimePoint updated{};
     };
 
