--- a/modules/admission/admissioncontroller.h
+++ b/modules/admission/admissioncontroller.h
@@ -132,9 +132,11 @@
         TimePoint startedAt{};
         std::uint32_t inFlightAtStart = 0;
     };
-    /** Moving average of the time in the upstream, for one route. */
+    /** Time in the upstream, for one route: moving averages in nanoseconds. */
     struct RouteTime {
         double mean = 0;
+        /** Moving average of the distance from the mean. */
+        double deviation = 0;
         TimePoint updated{};
     };
 
@@ -147,7 +149,8 @@
     Refusal refusal(RefusalReason reason, Priority priority, TimePoint now);
     void refuseWaiting(AdmissionTicket ticket, RefusalReason reason, Schedule &schedule, TimePoint now);
     bool waitsTooLong(const RequestContext &context, TimePoint now) const;
-    std::size_t queueCapacity() const;
+    bool queueFull(Priority priority) const;
+    std::size_t queueCapacity(Duration queueTime) const;
     Duration expectedTime(const RouteName &route, TimePoint now) const;
     void learnTime(const RouteName &route, Duration time, TimePoint now);
 
