--- a/modules/routing/health/outlierejector.cpp
+++ b/modules/routing/health/outlierejector.cpp
@@ -15,16 +15,22 @@
 bool OutlierEjector::onAnswer(const NodeName &node, AnswerKind kind, Duration latency)
 {
     auto *upstream = m_table.find(node);
-    // Answers that arrive during an ejection belong to calls from before it.
-    if (!upstream || kind == AnswerKind::Shed || upstream->isEjected(m_clock.now())) {
+    if (!upstream) {
+        return false;
+    }
+    auto &shedShare = upstream->health.shedShare;
+    shedShare += SampleWeight * ((kind == AnswerKind::Shed ? 1.0 : 0.0) - shedShare);
+    shedShare = std::min(shedShare, LargestShedShare);
+    // Answers that arrive during an ejection belong to calls from before it or to overflow.
+    if (kind == AnswerKind::Shed || upstream->isEjected(m_clock.now())) {
         return false;
     }
     const bool failed = kind == AnswerKind::Failure;
     addSample(*upstream, failed, latency);
     if (failed && (upstream->health.probation > 0 || isFailing(*upstream))) {
-        return eject(*upstream);
+        return eject(*upstream, false);
     }
-    return isSlow(*upstream) && eject(*upstream);
+    return isSlow(*upstream) && eject(*upstream, true);
 }
 
 std::size_t OutlierEjector::ejected(const ServiceName &service) const
@@ -88,7 +94,7 @@
         && upstream.health.latency - *middle > static_cast<double>(SmallestSlowness.count());
 }
 
-bool OutlierEjector::eject(Upstream &upstream)
+bool OutlierEjector::eject(Upstream &upstream, bool slow)
 {
     const auto &service = upstream.record.service;
     if ((ejected(service) + 1) * 2 > m_table.service(service).size()) {
@@ -100,6 +106,7 @@
     upstream.health = UpstreamHealth();
     upstream.health.ejections = ejections;
     upstream.health.ejectedUntil = until;
+    upstream.health.slow = slow;
     upstream.health.probation = ProbationSuccesses;
     upstream.slowStart.restart(until);
     return true;
--- a/modules/routing/health/outlierejector.h
+++ b/modules/routing/health/outlierejector.h
@@ -42,6 +42,8 @@
     static constexpr Duration FirstEjection = std::chrono::seconds(5);
     static constexpr Duration LongestEjection = std::chrono::seconds(60);
     static constexpr std::uint32_t ProbationSuccesses = 3;
+    /** Some calls always go to a full upstream, so that room is noticed. */
+    static constexpr double LargestShedShare = 0.95;
 
     OutlierEjector(UpstreamTable &table, const Clock &clock);
 
@@ -55,7 +57,7 @@
     void addSample(Upstream &upstream, bool failed, Duration latency);
     bool isFailing(const Upstream &upstream) const;
     bool isSlow(const Upstream &upstream) const;
-    bool eject(Upstream &upstream);
+    bool eject(Upstream &upstream, bool slow);
 
     UpstreamTable &m_table;
     const Clock &m_clock;
--- a/modules/routing/selection/upstreamselector.cpp
+++ b/modules/routing/selection/upstreamselector.cpp
@@ -24,7 +24,7 @@
 {
     m_now = m_clock.now();
     const auto &upstreams = m_table.service(service);
-    for (const auto need : { Need::Room, Need::Health, Need::Any }) {
+    for (const auto need : { Need::Room, Need::Overflow, Need::Health, Need::Any }) {
         if (const auto *it = chooseOf(upstreams.local, tried, need)) {
             return Selection{ it->record.node, true };
         }
@@ -35,15 +35,21 @@
     return std::nullopt;
 }
 
-bool UpstreamSelector::isUsable(const Upstream &upstream, const std::vector<NodeName> &tried, Need need) const
+bool UpstreamSelector::isUsable(const Upstream &upstream, const std::vector<NodeName> &tried, Need need)
 {
-    if (need != Need::Any && (!upstream.reachable || upstream.isEjected(m_now))) {
+    if (std::find(tried.begin(), tried.end(), upstream.record.node) != tried.end()) {
         return false;
     }
-    if (need == Need::Room && upstream.loadWithOneMore(m_now) > 1.0) {
+    if (need == Need::Any) {
+        return true;
+    }
+    const bool ejected = upstream.isEjected(m_now);
+    const bool isWanted = need == Need::Overflow ? ejected && upstream.health.slow && upstream.ownLoad(m_now, 1.0) <= 1.0 : !ejected;
+    if (!upstream.reachable || !isWanted) {
         return false;
     }
-    return std::find(tried.begin(), tried.end(), upstream.record.node) == tried.end();
+    const double shed = upstream.health.shedShare;
+    return need == Need::Health || shed == 0.0 || m_random.unit() >= shed;
 }
 
 const Upstream *UpstreamSelector::chooseOf(const std::vector<Upstream *> &list, const std::vector<NodeName> &tried, Need need)
@@ -89,12 +95,8 @@
 
 const Upstream *UpstreamSelector::lessLoaded(const Upstream *a, const Upstream *b)
 {
-    const double loadA = a->loadWithOneMore(m_now);
-    const double loadB = b->loadWithOneMore(m_now);
-    if (loadA == loadB) {
-        return m_random.below(2) == 0 ? a : b;
-    }
-    return loadA < loadB ? a : b;
+    // A random part of the coming call breaks ties, and gives a cold upstream its share even when few calls are in flight.
+    return a->ownLoad(m_now, m_random.unit()) < b->ownLoad(m_now, m_random.unit()) ? a : b;
 }
 
 } // namespace Pimentohollow
--- a/modules/routing/selection/upstreamselector.h
+++ b/modules/routing/selection/upstreamselector.h
@@ -17,11 +17,12 @@
 };
 
 /**
- * Chooses an upstream by two random choices: of two, the one with the lower load after the call. Two choices stay close to
- * the best one with fresh information and don't herd to one upstream with old information (docs/routing.md).
+ * Chooses an upstream by two random choices: of two, the one with the lower load by this node's own calls.
  *
- * Order: local ones with room, others with room, local ones that are full, others that are full, and as a last resort
- * ejected ones: a wrong ejection must not refuse work that could run. Draining upstreams and those already tried are never chosen.
+ * Order: local ones with room, others with room, slow ones that were ejected for it, local ones that are full, others that are
+ * full, and as a last resort all ejected ones: a wrong ejection must not refuse work that could run. An upstream is passed over as full
+ * with the probability with which it refused this node's recent calls, so that nodes don't move away all at once. Draining
+ * upstreams and those already tried are never chosen.
  */
 class UpstreamSelector
 {
@@ -33,12 +34,13 @@
 
 private:
     enum class Need {
-        Room, ///< reachable, not ejected, load below the limit
+        Room, ///< reachable, not ejected, not full
+        Overflow, ///< reachable, ejected for slowness, not full, and below its reduced capacity
         Health, ///< reachable, not ejected
         Any,
     };
 
-    bool isUsable(const Upstream &upstream, const std::vector<NodeName> &tried, Need need) const;
+    bool isUsable(const Upstream &upstream, const std::vector<NodeName> &tried, Need need);
     const Upstream *chooseOf(const std::vector<Upstream *> &list, const std::vector<NodeName> &tried, Need need);
     const Upstream *scan(const std::vector<Upstream *> &list, const std::vector<NodeName> &tried, Need need);
     const Upstream *lessLoaded(const Upstream *a, const Upstream *b);
--- a/modules/routing/table/upstream.h
+++ b/modules/routing/table/upstream.h
@@ -17,7 +17,11 @@
     double latency = 0;
     /** Moving average of the share of failures. */
     double failureShare = 0;
+    /** Moving average of the share of calls that were refused as not run; says that the upstream is full. */
+    double shedShare = 0;
     TimePoint ejectedUntil = TimePoint::min();
+    /** The current or last ejection was for slowness: the upstream still completes work. */
+    bool slow = false;
     /** Ejections without a full recovery in between; lengthens the next one. */
     std::uint32_t ejections = 0;
     /** Successes that are still needed in a row after a readmission; one failure ejects again. */
@@ -53,10 +57,20 @@
         return limit < 1.0 ? 1.0 : limit;
     }
 
-    /** Load after one more call, as a share of the capacity. */
-    double loadWithOneMore(TimePoint now) const
+    /**
+     * Load by the calls of this node alone, as a share of the capacity. Used for the choice: records are as old as many service
+     * times, and all entry nodes would follow the same old record at once (docs/routing.md).
+     * @param part how much of the coming call counts, in [0, 1)
+     */
+    double ownLoad(TimePoint now, double part) const
     {
-        return (double(ownInFlight) + double(othersInFlight) + 1.0) / capacity(now);
+        return (double(ownInFlight) + part) / capacity(now);
+    }
+
+    /** Load by all calls, as far as the last record tells. */
+    double recordedLoad(TimePoint now) const
+    {
+        return (double(ownInFlight) + double(othersInFlight)) / capacity(now);
     }
 };
 
--- a/modules/routing/tests/routingtest.cpp
+++ b/modules/routing/tests/routingtest.cpp
@@ -99,7 +99,8 @@
 
 struct SelectionCase {
     const char *name;
-    /** What is wrong with the local upstreams a and b: '-' nothing, 'd' draining, 'e' ejected, 'f' full, 'u' unreachable, 't' tried. */
+    /** What is wrong with the local upstreams a and b: '-' nothing, 'd' draining, 'e' ejected, 's' ejected
+     *  for slowness, 'f' full, 'u' unreachable, 't' tried. */
     const char *local;
     /** The same for the remote upstream r. */
     char remote;
@@ -113,10 +114,13 @@
     {
         auto record = makeRecord(node, node == "r" ? "far" : "here");
         record.state = fault == 'd' ? UpstreamState::Draining : UpstreamState::Ready;
-        record.inFlight = fault == 'f' ? 10 : 0;
         table.apply(record, clock.now());
-        if (fault == 'e') {
-            table.find(record.node)->health.ejectedUntil = clock.now() + 1s;
+        auto &health = table.find(record.node)->health;
+        if (fault == 'f') {
+            health.shedShare = 1.0;
+        } else if (fault == 'e' || fault == 's') {
+            health.ejectedUntil = clock.now() + 1s;
+            health.slow = fault == 's';
         } else if (fault == 't') {
             m_tried.push_back(record.node);
         }
@@ -149,6 +153,8 @@
                                          SelectionCase{ "localUnreachable", "uu", '-', { "r" } },
                                          SelectionCase{ "localTried", "tt", '-', { "r" } },
                                          SelectionCase{ "allFull", "ff", 'f', { "a", "b" } },
+                                         SelectionCase{ "slowBeforeFull", "sf", 'f', { "a" } },
+                                         SelectionCase{ "slowAfterRoom", "ss", '-', { "r" } },
                                          SelectionCase{ "allEjected", "ee", 'e', { "a", "b" } },
                                          SelectionCase{ "allTried", "tt", 't', { "none" } },
                                          SelectionCase{ "allDraining", "dd", 'd', { "none" } }),
@@ -179,6 +185,26 @@
     RC_ASSERT(std::find(tried.begin(), tried.end(), NodeName(node)) == tried.end());
 }
 
+// Guards against entry nodes that leave a full upstream all at once, never come back, or keep sending everything to it.
+TEST_F(RoutingTest, SpillsByTheShareOfRefusals)
+{
+    add({ "local" });
+    add({ "remote" }, "far");
+    for (int n = 0; n < 100; ++n) {
+        answer("local", n % 2 == 0 ? AnswerKind::Shed : AnswerKind::Success, 1);
+    }
+    int local = 0;
+    for (int n = 0; n < 1000; ++n) {
+        local += choose() == "local";
+    }
+    EXPECT_GT(local, 400);
+    EXPECT_LT(local, 600);
+    answer("local", AnswerKind::Shed, 1000);
+    EXPECT_TRUE(chosen().contains("local"));
+    answer("local", AnswerKind::Success, 100);
+    EXPECT_EQ(chosen(), std::set<std::string>{ "local" });
+}
+
 struct EjectionCase {
     const char *name;
     AnswerKind kind;
