Add pimentohollowctl with its subcommands and sample documents

Each subcommand is a class of the module control and reports text or JSON with documented exit codes.

--- a/modules/configuration/fleet/fleetconfiguration.cpp
+++ b/modules/configuration/fleet/fleetconfiguration.cpp
@@ -4,6 +4,7 @@
 #include "configuration/fleet/entityfields.h"
 #include "configuration/parsing/fieldreader.h"
 #include "configuration/parsing/fieldwriter.h"
+#include "configuration/parsing/textfile.h"
 
 namespace Pimentohollow
 {
@@ -223,6 +224,15 @@
     return fleet.fleet();
 }
 
+Parsed<FleetConfiguration> loadFleet(const std::string &path)
+{
+    const auto text = readTextFile(path);
+    if (!text) {
+        return tl::make_unexpected(Findings{ { path, 0, "", "the file can't be read" } });
+    }
+    return parseFleet(*text, path, DocumentScope::Declared);
+}
+
 std::string writeFleet(const FleetConfiguration &fleet)
 {
     YAML::Emitter emitter;
--- a/modules/configuration/fleet/fleetconfiguration.h
+++ b/modules/configuration/fleet/fleetconfiguration.h
@@ -53,6 +53,9 @@
 /** Reads a fleet document, including checkFleet(). All faults are reported at once, and unknown fields are faults. */
 Parsed<FleetConfiguration> parseFleet(const std::string &text, const std::string &file, DocumentScope scope);
 
+/** Reads and parses a document that an operator wrote. */
+Parsed<FleetConfiguration> loadFleet(const std::string &path);
+
 /** The canonical text of a complete document; parseFleet() gives back the same value. */
 std::string writeFleet(const FleetConfiguration &fleet);
 
--- a/modules/configuration/settings/nodesettings.cpp
+++ b/modules/configuration/settings/nodesettings.cpp
@@ -1,11 +1,10 @@
 #include "configuration/settings/nodesettings.h"
 
 #include "configuration/parsing/fieldreader.h"
+#include "configuration/parsing/textfile.h"
 
 #include <cstdlib>
 #include <fmt/format.h>
-#include <fstream>
-#include <sstream>
 
 namespace Pimentohollow
 {
@@ -20,17 +19,6 @@
 constexpr Range TimeRange = durationRange(1ms, 1h);
 constexpr Range SizeRange{ 1024, 256.0 * 1024 * 1024 };
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream) {
-        return std::nullopt;
-    }
-    std::ostringstream content;
-    content << stream.rdbuf();
-    return content.str();
-}
-
 /** Reads "{file: PATH}" or "{environment: NAME}"; findings name the source and never the value. */
 void readSecret(FieldReader &reader, const std::string &field, const SecretSource &source, std::size_t minimumBytes, Secret &secret)
 {
@@ -242,7 +230,7 @@
         return value == nullptr ? std::nullopt : std::optional<std::string>(value);
     };
     source.file = [](const std::string &path) {
-        auto content = readFile(path);
+        auto content = readTextFile(path);
         while (content && (content->ends_with('\n') || content->ends_with('\r'))) {
             content->pop_back();
         }
@@ -260,7 +248,7 @@
 
 Parsed<NodeSettings> loadNodeSettings(const std::string &path)
 {
-    const auto text = readFile(path);
+    const auto text = readTextFile(path);
     if (!text) {
         return unreadable(path);
     }
@@ -276,7 +264,7 @@
 
 Parsed<OperatorSettings> loadOperatorSettings(const std::string &path)
 {
-    const auto text = readFile(path);
+    const auto text = readTextFile(path);
     if (!text) {
         return unreadable(path);
     }
--- /dev/null
+++ b/modules/control/commands/diffcommand.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "control/command.h"
+
+namespace Pimentohollow
+{
+
+/** "diff": shows what applying a fleet document would change. */
+class DiffCommand : public Command
+{
+public:
+    std::vector<std::string> words() const override;
+    std::string summary() const override;
+    std::string pattern() const override;
+    std::string help() const override;
+    CommandResult run(const Arguments &arguments, ControlContext &context) const override;
+};
+
+} // namespace Pimentohollow
