--- a/modules/messages/gossip/gossipmessage.h
+++ b/modules/messages/gossip/gossipmessage.h
@@ -147,13 +147,15 @@
     std::uint64_t capacity = 0;
     /** Length of the loan, which the taker counts from its request. */
     std::uint32_t loanMilliseconds = 0;
+    /** The loan takes the place of the giver's earlier one to the same taker, which was not greater. */
+    bool extends = false;
 
     bool operator==(const TokenGrant &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(request, account, tokens, rate, capacity, loanMilliseconds);
+        archive(request, account, tokens, rate, capacity, loanMilliseconds, extends);
     }
 };
 
@@ -171,21 +173,19 @@
     }
 };
 
-/** Hands over shares; the giver stopped using them before it sent this. */
+/** Hands over shares; the giver stopped using them before it sent this. The taker owns them once its write is confirmed. */
 struct ShareGrant {
     std::uint64_t request = 0;
     /** Incarnation under which the giver is named in the platform's row. */
     std::uint64_t incarnation = 0;
     std::vector<std::uint8_t> shares;
-    /** What is left of the giver's lease; the taker counts it from its request. */
-    std::uint64_t leaseMilliseconds = 0;
 
     bool operator==(const ShareGrant &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(request, incarnation, shares, leaseMilliseconds);
+        archive(request, incarnation, shares);
     }
 };
 
