--- a/modules/runtime/runtime.h
+++ b/modules/runtime/runtime.h
@@ -8,3 +8,4 @@
 #include "runtime/claims/claimtask.h"
 #include "runtime/configuration/configurationtask.h"
 #include "runtime/gossip/gossiptask.h"
+#include "runtime/quota/quotatask.h"
