Compare arrivals with the largest of the last four shares

Cause: a lower share takes up to 0.4 s to show in the arrivals of a deep service; the estimator took the calls on the way for more demand, lowered the share again, and shares swung between 2 % and 100 %.

--- a/modules/admission/admissionsettings.h
+++ b/modules/admission/admissionsettings.h
@@ -16,7 +16,7 @@
     double overcommit = 1.1;
     /** Largest fall and rise of a share per window; bounds the overshoot while callers don't know the new share yet. */
     double largestFall = 0.5;
-    double largestRise = 2.0;
+    double largestRise = 1.5;
 };
 
 /** Settings of AdmissionController; the defaults suit services whose answers take some 10 to 300 ms. */
--- a/modules/admission/shareestimator.cpp
+++ b/modules/admission/shareestimator.cpp
@@ -74,8 +74,11 @@
 double ShareEstimator::demand(Priority priority) const
 {
     const Arrivals &arrivals = m_arrivals[static_cast<std::size_t>(priority)];
-    // The larger of the last two shares: calls on the way were admitted under the older one.
-    const double inForce = std::max({ m_shares.of(priority), m_previousShares.of(priority), SmallestShare });
+    // The largest of the last shares; a smaller one would take calls on the way for a larger demand.
+    double inForce = std::max(m_shares.of(priority), SmallestShare);
+    for (const auto &it : m_history) {
+        inForce = std::max(inForce, it.of(priority));
+    }
     return arrivals.direct + arrivals.chained / inForce;
 }
 
@@ -101,7 +104,8 @@
     }
     m_shares.important = limitChange(before.important, important);
     m_shares.normal = limitChange(before.normal, normal);
-    m_previousShares = before;
+    m_history[m_nextHistory] = before;
+    m_nextHistory = (m_nextHistory + 1) % HistoryWindows;
 }
 
 } // namespace Pimentohollow
--- a/modules/admission/shareestimator.h
+++ b/modules/admission/shareestimator.h
@@ -49,6 +49,9 @@
     std::optional<double> completionRate() const;
 
 private:
+    /** Windows after which a change of the shares has reached this service; reports take two, a deep chain another two. */
+    static constexpr std::size_t HistoryWindows = 4;
+
     struct Arrivals {
         double direct = 0;
         double chained = 0;
@@ -62,8 +65,9 @@
     ShareSettings m_settings;
     /** As estimated; normal requests are reported as 0 while important ones are thinned. */
     AdmittedShares m_shares;
-    /** The shares of the window before; callers learn of a change with about one window of delay. */
-    AdmittedShares m_previousShares;
+    /** The shares of the last windows; calls on the way were admitted under one of them. */
+    std::array<AdmittedShares, HistoryWindows> m_history;
+    std::size_t m_nextHistory = 0;
     TimePoint m_start{};
     std::array<Arrivals, 2> m_arrivals;
     double m_refused = 0;
