--- a/modules/admission/limits/gradientlimit.cpp
+++ b/modules/admission/limits/gradientlimit.cpp
@@ -14,6 +14,8 @@
 constexpr double FasterBaseWeight = 0.3;
 /** Fall of concurrency between two windows from which their latencies can be compared. */
 constexpr double ComparableFall = 0.8;
+/** Share of the base latency above which a lower latency is taken for noise. */
+constexpr double SameLatency = 0.95;
 /** Share of the limit above which it counts as in use; a lower share would raise the limit far above what was ever in flight. */
 constexpr double InUseShare = 0.75;
 /** Growth per answer before the first sign of queueing; with 2, a limit triples in the time of a request. */
@@ -39,6 +41,7 @@
     : m_settings(settings)
     , m_limit(settings.initial)
 {
+    openWindow({});
 }
 
 std::uint32_t GradientLimit::limit() const
@@ -56,9 +59,9 @@
     m_limit = m_settings.initial;
     m_base = 0;
     m_slowStart = true;
+    m_probeNext = false;
     m_previous = {};
-    m_window = {};
-    m_window.start = now;
+    openWindow(now);
     m_lastProbe = now;
     m_limitBeforeProbe = 0;
 }
@@ -81,7 +84,7 @@
     ++m_window.samples;
     m_window.latencySum += latency;
     m_window.inFlightSum += sample.inFlight;
-    if (windowComplete()) {
+    if (m_window.samples >= m_window.wanted) {
         closeWindow(now);
     }
 }
@@ -94,9 +97,11 @@
     }
 }
 
-bool GradientLimit::windowComplete() const
+void GradientLimit::openWindow(TimePoint now)
 {
-    return m_window.samples >= m_settings.smallestWindow && m_window.samples >= limit() / 2;
+    m_window = {};
+    m_window.start = now;
+    m_window.wanted = std::max(m_settings.smallestWindow, limit() / 2);
 }
 
 void GradientLimit::closeWindow(TimePoint now)
@@ -106,8 +111,7 @@
     updateBase(inUse, probed);
     updateLimit(inUse, now);
     m_previous = m_window;
-    m_window = {};
-    m_window.start = now;
+    openWindow(now);
 }
 
 bool GradientLimit::latencyIndependentOfLoad() const
@@ -123,7 +127,11 @@
 void GradientLimit::updateBase(bool inUse, bool probed)
 {
     const double latency = m_window.latency();
-    if (m_base == 0 || (probed && latency < m_base)) {
+    // Queueing only adds to latency, so a much lower one is the new base at once: the upstream has become faster.
+    const bool muchFaster = latency * m_settings.tolerance < m_base;
+    if (m_base == 0 || muchFaster || (probed && latency < m_base)) {
+        // What was measured under a high limit, or fell in a probe, may still contain queueing: probe again.
+        m_probeNext = latency < SameLatency * m_base;
         m_base = latency;
     } else if (latencyIndependentOfLoad()) {
         m_base = latency;
@@ -152,7 +160,8 @@
     }
     if (!inUse) {
         m_lastProbe = now;
-    } else if (now - m_lastProbe >= m_settings.probeInterval) {
+    } else if (m_probeNext || now - m_lastProbe >= m_settings.probeInterval) {
+        m_probeNext = false;
         m_limitBeforeProbe = m_limit;
         setLimit(m_limit * m_settings.probeShare);
     }
@@ -163,8 +172,7 @@
     setLimit(std::min<double>(m_limit, sample.inFlight) * ShedDecrease);
     m_limitBeforeProbe = 0;
     m_slowStart = false;
-    m_window = {};
-    m_window.start = now;
+    openWindow(now);
 }
 
 void GradientLimit::setLimit(double limit)
--- a/modules/admission/limits/gradientlimit.h
+++ b/modules/admission/limits/gradientlimit.h
@@ -50,6 +50,8 @@
     /** Means over the requests that started and ended within the same window. */
     struct Window {
         TimePoint start{};
+        /** Samples that complete it; fixed at its start, because a limit that grows faster would put the end off for ever. */
+        std::uint32_t wanted = 0;
         std::uint32_t samples = 0;
         double latencySum = 0;
         double inFlightSum = 0;
@@ -59,7 +61,7 @@
     };
 
     void growInSlowStart(const LimitSample &sample, double latency);
-    bool windowComplete() const;
+    void openWindow(TimePoint now);
     void closeWindow(TimePoint now);
     /** Whether latency stayed although concurrency fell since the previous window. */
     bool latencyIndependentOfLoad() const;
@@ -76,6 +78,7 @@
     Window m_window;
     Window m_previous;
     TimePoint m_lastProbe{};
+    bool m_probeNext = false;
     /** The limit to return to after a probe; zero while none runs. */
     double m_limitBeforeProbe = 0;
 };
