Keep recorded outcomes in memory and take overflow up to the limit

A resend during an outage of the platform was refused as not run by the very process that had run the request; the last 2,000 recorded outcomes now stay known.

--- a/bench/routing/probing/main.cpp
+++ b/bench/routing/probing/main.cpp
@@ -127,12 +127,13 @@
 std::vector<Rule> makeRules()
 {
     std::vector<Rule> rules;
-    for (const std::size_t stay : { 20, 100 }) {
-        rules.push_back({ fmt::format("greedy cyclic CUSUM, q = {}", stay), false, [stay](std::size_t upstreams, double threshold) {
-                             return std::make_unique<GreedyCyclicCusum>(upstreams, threshold, stay);
-                         } });
+    for (const double delta : { 0.5, 1.0, 2.0 }) {
+        rules.push_back(
+            { fmt::format("greedy cyclic CUSUM, delta = {}, q = 100", delta), false, [delta](std::size_t upstreams, double threshold) {
+                 return std::make_unique<GreedyCyclicCusum>(upstreams, threshold, delta, 100);
+             } });
     }
-    for (const double design : { 0.5, 1.0, 2.0 }) {
+    for (const double design : { 1.0, 2.0 }) {
         rules.push_back({ fmt::format("plain cyclic CUSUM for shift {}", design), true, [design](std::size_t upstreams, double threshold) {
                              return std::make_unique<PlainCyclicCusum>(upstreams, threshold, design);
                          } });
--- a/bench/routing/probing/prober.h
+++ b/bench/routing/probing/prober.h
@@ -27,13 +27,17 @@
 class GreedyCyclicCusum : public Prober
 {
 public:
-    /** Smallest and largest shift that the estimate takes. */
-    static constexpr double Delta = 0.5;
-    static constexpr double Zeta = 5.0;
-
-    GreedyCyclicCusum(std::size_t upstreams, double threshold, std::size_t longestStay)
+    /** Largest shift that the estimate takes. */
+    static constexpr double Zeta = 8.0;
+
+    /**
+     * @param delta smallest shift that the estimate takes, and the estimate of the first sample of a stay
+     * @param longestStay the paper's q
+     */
+    GreedyCyclicCusum(std::size_t upstreams, double threshold, double delta, std::size_t longestStay)
         : m_upstreams(upstreams)
         , m_threshold(threshold)
+        , m_delta(delta)
         , m_longestStay(longestStay)
     {
     }
@@ -45,8 +49,8 @@
 
     bool onSample(double sample) override
     {
-        // Without earlier samples of this stay the mean is 0/0 = -infinity, so that the estimate is Delta.
-        const double theta = m_samples == 0 ? Delta : std::clamp(m_sum / double(m_samples), Delta, Zeta);
+        // Without earlier samples of this stay the mean is 0/0 = -infinity, so that the estimate is delta.
+        const double theta = m_samples == 0 ? m_delta : std::clamp(m_sum / double(m_samples), m_delta, Zeta);
         m_statistic = std::max(m_statistic, 0.0) + theta * sample - theta * theta / 2.0;
         m_sum += sample;
         ++m_samples;
@@ -65,6 +69,7 @@
 private:
     std::size_t m_upstreams;
     double m_threshold;
+    double m_delta;
     std::size_t m_longestStay;
     std::size_t m_target = 0;
     std::size_t m_samples = 0;
--- a/modules/claims/claim.h
+++ b/modules/claims/claim.h
@@ -26,6 +26,12 @@
     {
         return std::tie(a.account, a.idempotencyKey) < std::tie(b.account, b.idempotencyKey);
     }
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(account, idempotencyKey);
+    }
 };
 
 /** The process that runs a claimed request. */
@@ -35,6 +41,12 @@
     std::uint64_t incarnation = 0;
 
     bool operator==(const ClaimOwner &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(node, incarnation);
+    }
 };
 
 enum class ClaimState {
@@ -54,6 +66,12 @@
     std::string value;
 
     bool operator==(const OutcomeHeader &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, value);
+    }
 };
 
 /** The answer of a finished request, as a resend gets it. */
@@ -65,6 +83,12 @@
     std::string bodyObject;
 
     bool operator==(const ClaimOutcome &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(status, headers, body, bodyObject);
+    }
 };
 
 /** One claim, as it is stored in one row. */
@@ -82,6 +106,12 @@
     std::optional<ClaimOutcome> outcome;
 
     bool operator==(const Claim &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(key, fingerprint, claimId, owner, state, claimedAt, expiresAt, outcome);
+    }
 };
 
 /** A claim's address without its contents, as listed for the removal of expired claims. */
@@ -90,6 +120,12 @@
     std::string claimId;
 
     bool operator==(const ClaimReference &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(key, claimId);
+    }
 };
 
 /** Outcomes are kept for 24 h after the request has finished. */
--- a/modules/claims/registry/claimregistry.cpp
+++ b/modules/claims/registry/claimregistry.cpp
@@ -64,7 +64,7 @@
         join(ticket, request, it->second);
         return ticket;
     }
-    if (m_entries.size() >= MostEntries) {
+    if (openClaims() >= MostEntries) {
         refuse(ticket, RefusalReason::Overloaded, RunState::NotRun, "too many claims are open at this node");
         return ticket;
     }
@@ -98,6 +98,9 @@
     assert(entry && entry->phase == Phase::Running);
     answerWaiters(*entry, ReplayOutcome{ outcome });
     const auto size = outcome.body.size();
+    while (m_heldBytes + size > MostHeldBytes && !m_recorded.empty()) {
+        forgetOldestRecorded();
+    }
     if (m_heldBytes + size > MostHeldBytes) {
         lose(claimId);
         return;
@@ -149,7 +152,8 @@
         m_items.emplace_back(ReleaseItem{ { abandoned->second, result.claimId } });
     }
     auto *entry = find(result.claimId);
-    if (!entry) {
+    // Forwarded items may be answered twice.
+    if (!entry || entry->recorded) {
         return;
     }
     std::visit(Overloaded{ [&](const ClaimGranted &) {
@@ -161,8 +165,11 @@
                            [&](const ClaimNotMade &it) {
                                onNotMade(*entry, it);
                            },
+                           [&](const OutcomeRecorded &) {
+                               onRecorded(*entry);
+                           },
                            [&](const auto &) {
-                               // Recorded, released, or never to be recorded: the row decides from now on.
+                               // Released, or never to be recorded: the row decides from now on.
                                erase(result.claimId);
                            } },
                result.verdict);
@@ -447,6 +454,21 @@
     m_items.emplace_back(OutcomeItem{ entry.claim });
 }
 
+void ClaimRegistry::onRecorded(Entry &entry)
+{
+    entry.recorded = true;
+    m_recorded.push_back(entry.claim.claimId);
+    if (m_recorded.size() > MostRecorded) {
+        forgetOldestRecorded();
+    }
+}
+
+void ClaimRegistry::forgetOldestRecorded()
+{
+    erase(m_recorded.front());
+    m_recorded.pop_front();
+}
+
 void ClaimRegistry::expireWaits(Entry &entry)
 {
     const auto now = m_clock.now();
@@ -482,6 +504,7 @@
 void ClaimRegistry::erase(const std::string &claimId)
 {
     const auto key = m_keys.find(claimId);
+    assert(key != m_keys.end());
     const auto it = m_entries.find(key->second);
     if (it->second.phase == Phase::Finished) {
         m_heldBytes -= it->second.claim.outcome->body.size();
--- a/modules/claims/registry/claimregistry.h
+++ b/modules/claims/registry/claimregistry.h
@@ -39,8 +39,10 @@
     static constexpr std::size_t MostEntries = 10000;
     /** Abandoned claims that a resend may still release; beyond this the oldest one ends as "unknown" for a resend. */
     static constexpr std::size_t MostAbandoned = 4096;
-    /** Bodies of outcomes that wait to be recorded; a body above this is dropped and its outcome is recorded as lost. */
+    /** Bodies of outcomes in memory; a body that doesn't fit is dropped and its outcome is recorded as lost. */
     static constexpr std::size_t MostHeldBytes = std::size_t(16) * 1024 * 1024;
+    /** Recorded outcomes that stay in memory, so that a resend gets them without the platform. */
+    static constexpr std::size_t MostRecorded = 2000;
 
     using LivenessFunction = std::function<OwnerLiveness(const ClaimOwner &)>;
 
@@ -74,9 +76,9 @@
     std::optional<TimePoint> nextWake() const;
 
     /** Claims of this process that are not settled yet. */
-    std::size_t size() const
+    std::size_t openClaims() const
     {
-        return m_entries.size();
+        return m_entries.size() - m_recorded.size();
     }
 
 private:
@@ -86,8 +88,8 @@
         Granted,
         Running,
         Releasing,
-        Finished, ///< the outcome is being recorded
-        Lost, ///< the loss is being recorded
+        Finished, ///< the outcome is recorded or being recorded
+        Lost, ///< the same for the loss
     };
 
     struct Waiter {
@@ -101,6 +103,7 @@
         ClaimTicket ticket = 0;
         /** While Claiming: when the wait ends. Afterwards: when the claim was granted. */
         TimePoint time{};
+        bool recorded = false;
         std::vector<Waiter> waiters;
     };
 
@@ -135,6 +138,8 @@
     void refuseNotRun(Entry &entry);
     void answerWaiters(Entry &entry, const ClaimVerdict &verdict);
     void record(const Entry &entry);
+    void onRecorded(Entry &entry);
+    void forgetOldestRecorded();
     void expireWaits(Entry &entry);
     void rememberAbandoned(const ClaimReference &claim);
     Entry *find(const std::string &claimId);
@@ -151,6 +156,8 @@
     std::unordered_map<std::string, ClaimKey> m_keys;
     std::map<ClaimTicket, Lookup> m_lookups;
     std::deque<PendingBody> m_bodies;
+    /** Claim ids of entries whose outcome is recorded, oldest first. */
+    std::deque<std::string> m_recorded;
     std::unordered_map<std::string, ClaimKey> m_abandoned;
     std::deque<std::string> m_abandonedOrder;
     std::vector<ClaimAnswer> m_answers;
--- a/modules/claims/tests/claimstest.cpp
+++ b/modules/claims/tests/claimstest.cpp
@@ -188,6 +188,29 @@
         return std::string(testCase.param.name);
     });
 
+// Guards against "not run" for a request that this process ran, while the platform is unavailable, and against unbounded memory.
+TEST_F(ClaimsTest, RecordedOutcomesStayKnown)
+{
+    auto node = makeNode("n");
+    node.registry.finish(startRun(node, "k"), { 200, {}, "done", "" });
+    advance(node, 100ms);
+    EXPECT_EQ(node.registry.openClaims(), 0U);
+    table.faults.assign(10, Fault::Unavailable);
+    const auto ticket = node.begin("k");
+    advance(node, 100ms);
+    EXPECT_EQ(node.answer(ticket), "replay");
+    table.faults.clear();
+    for (int n = 0; n < 20; ++n) {
+        const std::string body(1024 * 1024, 'x');
+        node.registry.finish(startRun(node, std::to_string(n)), { 200, {}, body, "" });
+        advance(node, 100ms);
+    }
+    table.faults.assign(10, Fault::Unavailable);
+    const auto forgotten = node.begin("k");
+    advance(node, 100ms);
+    EXPECT_EQ(node.answer(forgotten), "platform_unavailable");
+}
+
 // Guards against a grant that is used long after it was given, when the process was paused.
 TEST_F(ClaimsTest, StaleGrantDoesNotRun)
 {
--- a/modules/routing/selection/upstreamselector.cpp
+++ b/modules/routing/selection/upstreamselector.cpp
@@ -44,8 +44,8 @@
         return true;
     }
     const bool ejected = upstream.isEjected(m_now);
-    const bool isWanted = need == Need::Overflow ? ejected && upstream.health.slow && upstream.ownLoad(m_now, 1.0) <= 1.0 : !ejected;
-    if (!upstream.reachable || !isWanted) {
+    const bool takesOverflow = ejected && upstream.health.slow && upstream.ownInFlight < upstream.record.concurrencyLimit;
+    if (!upstream.reachable || (need == Need::Overflow ? !takesOverflow : ejected)) {
         return false;
     }
     const double shed = upstream.health.shedShare;
--- a/modules/routing/selection/upstreamselector.h
+++ b/modules/routing/selection/upstreamselector.h
@@ -35,7 +35,7 @@
 private:
     enum class Need {
         Room, ///< reachable, not ejected, not full
-        Overflow, ///< reachable, ejected for slowness, not full, and below its reduced capacity
+        Overflow, ///< reachable, ejected for slowness, and not full
         Health, ///< reachable, not ejected
         Any,
     };
