--- a/modules/audit/tests/audittest.cpp
+++ b/modules/audit/tests/audittest.cpp
@@ -131,7 +131,7 @@
 }
 
 // Guards against crashes on a damaged export.
-RC_GTEST_PROP(AuditEntryProperty, ParserNeverCrashes, (std::string noise))
+RC_GTEST_PROP(AuditEntryProperty, ParserNeverCrashes, (const std::string &noise))
 {
     std::string line = writeEntry(makeChain().front());
     for (const char it : noise) {
--- a/modules/configuration/configuration.h
+++ b/modules/configuration/configuration.h
@@ -8,6 +8,7 @@
 #include "configuration/changes/configurationstore.h"
 #include "configuration/changes/configurationtracker.h"
 #include "configuration/changes/fleetchange.h"
+#include "configuration/changes/withdrawalchange.h"
 #include "configuration/fleet/entities.h"
 #include "configuration/fleet/fleetconfiguration.h"
 #include "configuration/fleet/fleetview.h"
--- a/modules/configuration/tests/configurationstoretest.cpp
+++ b/modules/configuration/tests/configurationstoretest.cpp
@@ -181,6 +181,7 @@
     constexpr int Operators = 8;
     constexpr int ChangesEach = 10;
     std::vector<std::thread> threads;
+    threads.reserve(Operators);
     for (int n = 0; n < Operators; ++n) {
         threads.emplace_back([this, n] {
             for (int done = 0; done < ChangesEach;) {
@@ -209,3 +210,23 @@
     EXPECT_EQ(m_store.apply(m_fleet, unreasoned).error().kind, ErrorKind::InvalidInput);
     EXPECT_EQ(m_store.head()->version, 0U);
 }
+
+// Guards against a withdrawal through nodes that is recorded twice, or that loses its operator.
+TEST_F(ConfigurationStoreTest, TwoNodesRecordOneWithdrawalOnce)
+{
+    FleetConfiguration target;
+    target.upsert(AccountEntity{ AccountName("a"), 1, 1 });
+    target.upsert(KeyEntity{ KeyId("k"), AccountName("a"), std::string(64, 'a'), std::nullopt, std::nullopt });
+    const auto issue = makeChange(m_fleet, target, "issue");
+    ASSERT_TRUE(m_store.apply(m_fleet, issue)->applied);
+    const VersionedFleet base = *applyChange(m_fleet, issue);
+    const auto change = makeWithdrawalChange(base, KeyId("k"), "maria", "lost", *parseTime("2026-12-04T03:00:00Z"));
+    ASSERT_TRUE(change);
+    EXPECT_TRUE(m_store.apply(base, *change)->applied);
+    EXPECT_TRUE(m_store.apply(base, *change)->applied);
+    const auto stored = m_store.load().value();
+    EXPECT_EQ(stored.version, 2U);
+    EXPECT_FALSE(makeWithdrawalChange(stored, KeyId("k"), "maria", "lost", {}));
+    EXPECT_FALSE(makeWithdrawalChange(stored, KeyId("none"), "maria", "lost", {}));
+    EXPECT_EQ(m_store.auditEntries(1, 2)->front().author, "maria");
+}
--- a/modules/configuration/tests/fleetchangetest.cpp
+++ b/modules/configuration/tests/fleetchangetest.cpp
@@ -118,7 +118,7 @@
 }
 
 // Guards against crashes on changes damaged on the way.
-RC_GTEST_PROP(FleetChangeProperty, ParserNeverCrashes, (std::string noise))
+RC_GTEST_PROP(FleetChangeProperty, ParserNeverCrashes, (const std::string &noise))
 {
     std::string text = writeChange(makeHistory(1).front());
     for (const char it : noise) {
--- a/modules/control/commands/keywithdrawcommand.cpp
+++ b/modules/control/commands/keywithdrawcommand.cpp
@@ -14,20 +14,19 @@
 constexpr int StatusOk = 200;
 constexpr int StatusAccepted = 202;
 
-std::optional<CommandResult> markWithdrawn(FleetConfiguration &fleet, const KeyId &key, const std::string &reason, WallTime now)
+std::optional<CommandResult> withdraw(FleetConfiguration &fleet, const KeyId &key, const std::string &reason, WallTime now)
 {
-    const auto it = fleet.keys.find(key);
-    if (it == fleet.keys.end()) {
+    switch (markWithdrawn(fleet, key, reason, now)) {
+    case WithdrawalMark::Marked:
+        return std::nullopt;
+    case WithdrawalMark::UnknownKey:
         return findingsResult({ { "fleet", 0, "key", fmt::format("there is no key '{}'", key.text()) } });
+    case WithdrawalMark::AlreadyWithdrawn:
+        break;
     }
-    if (it->second.withdrawn) {
-        CommandResult result;
-        result.text = fmt::format("key {} has been withdrawn since {}\n", key.text(), formatTime(*it->second.withdrawn));
-        return result;
-    }
-    it->second.withdrawn = std::chrono::floor<std::chrono::seconds>(now);
-    it->second.withdrawalReason = reason;
-    return std::nullopt;
+    CommandResult result;
+    result.text = fmt::format("key {} has been withdrawn since {}\n", key.text(), formatTime(*fleet.keys.at(key).withdrawn));
+    return result;
 }
 
 CommandResult nodeAnswer(const AdminAnswer &answer, const std::string &url)
@@ -104,7 +103,7 @@
     }
     CommandResult result = (*session)->applyEdit(
         [&](FleetConfiguration &fleet) {
-            return markWithdrawn(fleet, key, textArgument(arguments, "--reason"), context.clock.wallNow());
+            return withdraw(fleet, key, textArgument(arguments, "--reason"), context.clock.wallNow());
         },
         arguments,
         context);
--- a/modules/control/tests/controltest.cpp
+++ b/modules/control/tests/controltest.cpp
@@ -185,10 +185,12 @@
     constexpr int Operators = 6;
     std::vector<RunResult> runs(Operators);
     std::vector<std::string> files;
+    files.reserve(Operators);
     for (int n = 0; n < Operators; ++n) {
         files.push_back(accountFile(n + 2));
     }
     std::vector<std::thread> threads;
+    threads.reserve(Operators);
     for (int n = 0; n < Operators; ++n) {
         threads.emplace_back([this, n, &runs, &files] {
             runs[static_cast<std::size_t>(n)] = apply(files[static_cast<std::size_t>(n)], { "--base=1" });
@@ -214,6 +216,7 @@
 {
     constexpr int Operators = 4;
     std::vector<std::thread> threads;
+    threads.reserve(Operators);
     for (int n = 0; n < Operators; ++n) {
         threads.emplace_back([this, n] {
             EXPECT_EQ(run({ "node", "drain", "--reason=rack", "n" + std::to_string(n) }).code, ExitCode::Ok);
--- a/modules/keys/tests/keystest.cpp
+++ b/modules/keys/tests/keystest.cpp
@@ -135,7 +135,7 @@
 }
 
 // Guards against crashes on random request bodies.
-RC_GTEST_PROP(WithdrawalProperty, ParserNeverCrashes, (std::string text))
+RC_GTEST_PROP(WithdrawalProperty, ParserNeverCrashes, (const std::string &text))
 {
     parseWithdrawal(text);
     std::string mutated = writeWithdrawal(signWithdrawal(Pepper, withdrawal("k1")));
--- a/modules/platform/tests/tablecodectest.cpp
+++ b/modules/platform/tests/tablecodectest.cpp
@@ -6,7 +6,7 @@
 using namespace Pimentohollow;
 
 // Guards against bytes that JSON changes, such as control characters and broken UTF-8.
-RC_GTEST_PROP(TableCodecProperty, AttributesReadBackUnchanged, (std::string text, std::int64_t number))
+RC_GTEST_PROP(TableCodecProperty, AttributesReadBackUnchanged, (const std::string &text, std::int64_t number))
 {
     for (const AttributeValue &it : { AttributeValue(text), AttributeValue(number) }) {
         Poco::JSON::Object object;
@@ -17,7 +17,7 @@
 }
 
 // Guards against crashes on answers that aren't what the protocol promises.
-RC_GTEST_PROP(TableCodecProperty, ParsersNeverCrash, (std::string noise))
+RC_GTEST_PROP(TableCodecProperty, ParsersNeverCrash, (const std::string &noise))
 {
     std::string answer = R"({"Items":[{"pk":{"S":"p"},"sk":{"S":"1"},"n":{"N":"7"},"b":{"B":"AP8B"}}],"LastEvaluatedKey":{"pk":{"S":"p"},)"
                          R"("sk":{"S":"1"}},"__type":"x#TransactionCanceledException","CancellationReasons":[{"Code":"None"}]})";
