Fix linter findings in the runtime tests and the call registry

Cause: clang-tidy reported copies of a parameter and an int multiplication. Change: the parameter is a reference; the multiplication is done in std::size_t.

--- a/modules/peer/server/callregistry.h
+++ b/modules/peer/server/callregistry.h
@@ -28,7 +28,7 @@
     /** Oldest attempt about which "not run" is stated; the margin covers the time a question travels. */
     static constexpr Duration MaximumAge = std::chrono::seconds(15);
     /** Bound on the bytes of answers kept; beyond it the oldest answers are dropped and their outcome is unknown. */
-    static constexpr std::size_t MaximumAnswerBytes = 16 * 1024 * 1024;
+    static constexpr std::size_t MaximumAnswerBytes = std::size_t{ 16 } * 1024 * 1024;
 
     explicit CallRegistry(const Clock &clock);
 
--- a/modules/runtime/tests/quotatasktest.cpp
+++ b/modules/runtime/tests/quotatasktest.cpp
@@ -31,7 +31,7 @@
 class TestNode : public GossipObserver
 {
 public:
-    TestNode(const std::string &name, TableService &table, const Clock &clock, std::optional<GossipEndpoint> seed)
+    TestNode(const std::string &name, TableService &table, const Clock &clock, const std::optional<GossipEndpoint> &seed)
         : m_gossip(membership(name, seed), MessageAuthenticator("fleet secret"), clock, 1)
         , quota(shares(name), { table, m_gossip, clock }, std::hash<std::string>()(name))
     {
