--- a/modules/runtime/claims/claimtask.cpp
+++ b/modules/runtime/claims/claimtask.cpp
@@ -121,7 +121,7 @@
         auto promise = std::make_shared<std::promise<std::size_t>>();
         auto left = promise->get_future();
         const bool posted = m_commands.post([this, promise] {
-            promise->set_value(m_registry.size());
+            promise->set_value(m_registry.openClaims());
         });
         if (!posted) {
             return false;
