Assemble the node of a fleet from the platform and membership

FleetNode connects the configuration, gossip and claim tasks with the pipelines, reports the upstream's load, follows drains, and takes signed withdrawals on the admin listener.

--- a/modules/node/admin/adminhandler.cpp
+++ b/modules/node/admin/adminhandler.cpp
@@ -21,8 +21,16 @@
 {
 }
 
+void AdminHandler::add(const std::string &method, const std::string &path, Call call)
+{
+    m_calls.emplace(std::pair(method, path), std::move(call));
+}
+
 HttpResponseMessage AdminHandler::handle(HttpRequestMessage request, Cancellation & /*cancellation*/)
 {
+    if (const auto it = m_calls.find({ request.method, request.target }); it != m_calls.end()) {
+        return it->second(request);
+    }
     if (request.method != "GET") {
         return problemResponse({ RefusalReason::NoRoute, RunState::NotRun, {}, "only GET is supported" });
     }
--- /dev/null
+++ b/modules/node/fleet/fleetnode.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "node/node.h"
+#include "platform/platform.h"
+#include "runtime/runtime.h"
+
+namespace Pimentohollow
+{
+
+/** Gives the peers configuration changes once the task that has them exists. */
+class ChangesRelay : public ChangesHandler
+{
+public:
+    void setTarget(ChangesHandler *target);
+
+    ChangesResponse changesAfter(std::uint64_t version) override;
+
+private:
+    std::atomic<ChangesHandler *> m_target{ nullptr };
+};
+
+/** A node of a fleet: configuration, keys and claims come from the platform, upstreams from membership. */
+class FleetNode : public GossipObserver
+{
+public:
+    FleetNode(const NodeSettings &settings, std::uint64_t incarnation);
+    ~FleetNode() override;
+    FleetNode(const FleetNode &) = delete;
+    FleetNode &operator=(const FleetNode &) = delete;
+
+    Result<void> start();
+
+    /** Finishes all requests and records their claims; false if some were left after the time limit. */
+    bool shutDown();
+
+    void onGossipEvent(const MembershipEvent &event) override;
+    void onGossipRound(const std::shared_ptr<const FleetSnapshot> &snapshot) override;
+
+private:
+    void onConfiguration(const std::shared_ptr<const FleetView> &view);
+    void reportUpstream();
+    OwnerLiveness liveness(const ClaimOwner &owner) const;
+    /** Takes a signed withdrawal from an operator. */
+    HttpResponseMessage acceptWithdrawal(const HttpRequestMessage &request);
+
+    NodeSettings m_settings;
+    NodeOptions m_options;
+    SystemClock m_clock;
+    KeyTable m_keyTable;
+    FleetRoutes m_routes;
+    FleetKeys m_keys;
+    UnlimitedQuota m_quota;
+    HttpTableService m_table;
+    HttpObjectStore m_objects;
+    ConfigurationStore m_store;
+    ConfigurationTracker m_tracker;
+    GossipTask m_gossip;
+    ClaimTask m_claimTask;
+    FleetClaims m_claims;
+    RoutedUpstreams m_upstreams;
+    ChangesRelay m_changes;
+    Node m_node;
+    ConfigurationTask m_configuration;
+};
+
+/** What of the settings concerns the node itself. */
+NodeOptions nodeOptions(const NodeSettings &settings, std::uint64_t incarnation);
+
+} // namespace Pimentohollow
--- a/modules/node/fleet/fleetsources.cpp
+++ b/modules/node/fleet/fleetsources.cpp
@@ -20,6 +20,11 @@
     return m_view;
 }
 
+bool FleetRoutes::ready() const
+{
+    return view() != nullptr;
+}
+
 std::optional<RouteMatch> FleetRoutes::match(std::string_view method, std::string_view path) const
 {
     const auto view = this->view();
--- a/modules/node/fleet/fleetsources.h
+++ b/modules/node/fleet/fleetsources.h
@@ -25,6 +25,7 @@
     /** Null before the first version. */
     std::shared_ptr<const FleetView> view() const;
 
+    bool ready() const override;
     std::optional<RouteMatch> match(std::string_view method, std::string_view path) const override;
     RouteLimits limits(const RouteName &route, const AccountName &account) const override;
 
--- a/modules/node/interfaces/routesource.h
+++ b/modules/node/interfaces/routesource.h
@@ -35,6 +35,9 @@
 public:
     virtual ~RouteSource() = default;
 
+    /** False while there is no configuration; requests are then refused as not run. */
+    virtual bool ready() const = 0;
+
     /** @param path the target without its query, and without dot segments */
     virtual std::optional<RouteMatch> match(std::string_view method, std::string_view path) const = 0;
 
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -94,6 +94,21 @@
     m_ready = ready;
 }
 
+void Node::setTakesCalls(bool takesCalls)
+{
+    m_serving.setTakesCalls(takesCalls);
+}
+
+bool Node::takesCalls() const
+{
+    return m_serving.takesCalls();
+}
+
+void Node::addAdminCall(const std::string &method, const std::string &path, AdminHandler::Call call)
+{
+    m_admin.add(method, path, std::move(call));
+}
+
 int Node::peerPort() const
 {
     return m_peerServer->port();
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -34,6 +34,13 @@
     /** Whether /readyz sends callers here. */
     void setReady(bool ready);
 
+    /** Whether this node runs the calls of other nodes; they are refused as not run otherwise. */
+    void setTakesCalls(bool takesCalls);
+    bool takesCalls() const;
+
+    /** Adds a call to the admin listener; before start(). */
+    void addAdminCall(const std::string &method, const std::string &path, AdminHandler::Call call);
+
     /** Finishes all requests; false if some were left after the time limit of the options. */
     bool shutDown();
 
--- a/modules/node/pipeline/servingpipeline.cpp
+++ b/modules/node/pipeline/servingpipeline.cpp
@@ -63,8 +63,8 @@
 
 CallResponse ServingPipeline::handle(CallRequest request, TimePoint deadline, Cancellation &cancellation)
 {
-    if (m_draining) {
-        return refused(request, RefusalReason::Draining, "the serving node is shutting down");
+    if (!takesCalls()) {
+        return refused(request, RefusalReason::Draining, "the serving node takes no new work");
     }
     return serveLocally(std::move(request), deadline, cancellation);
 }
@@ -74,6 +74,16 @@
     m_draining = true;
 }
 
+void ServingPipeline::setTakesCalls(bool takesCalls)
+{
+    m_takesCalls = takesCalls;
+}
+
+bool ServingPipeline::takesCalls() const
+{
+    return m_takesCalls && !m_draining;
+}
+
 CallResponse ServingPipeline::serveLocally(CallRequest request, TimePoint deadline, Cancellation &cancellation)
 {
     const auto client = m_upstream.clientFor(request.service);
@@ -131,7 +141,7 @@
     }
     UpstreamRecord record;
     record.service = announced->service;
-    record.state = m_draining ? UpstreamState::Draining : announced->state;
+    record.state = takesCalls() ? announced->state : UpstreamState::Draining;
     record.incarnation = announced->incarnation;
     m_admission.report(record);
     return record;
--- a/modules/node/pipeline/servingpipeline.h
+++ b/modules/node/pipeline/servingpipeline.h
@@ -32,9 +32,13 @@
 
     CallResponse handle(CallRequest request, TimePoint deadline, Cancellation &cancellation) override;
 
-    /** Refuses calls of other nodes from now on; calls of this node are still served. */
+    /** Refuses calls of other nodes for ever, because the process ends; calls of this node are still served. */
     void beginDrain();
 
+    /** Whether calls of other nodes are run; an operator may change it. */
+    void setTakesCalls(bool takesCalls);
+    bool takesCalls() const;
+
     /** Serves a call that came in on this node itself. */
     CallResponse serveLocally(CallRequest request, TimePoint deadline, Cancellation &cancellation);
 
@@ -52,6 +56,7 @@
     MetricRegistry &m_metrics;
     LatencyHistogram &m_upstreamTime;
     std::atomic<bool> m_draining{ false };
+    std::atomic<bool> m_takesCalls{ true };
 };
 
 } // namespace Pimentohollow
--- a/modules/node/settings/staticsources.cpp
+++ b/modules/node/settings/staticsources.cpp
@@ -10,6 +10,11 @@
 {
 }
 
+bool StaticRoutes::ready() const
+{
+    return true;
+}
+
 std::optional<RouteMatch> StaticRoutes::match(std::string_view method, std::string_view path) const
 {
     const StaticRoute *best = nullptr;
--- a/modules/node/settings/staticsources.h
+++ b/modules/node/settings/staticsources.h
@@ -13,6 +13,7 @@
 public:
     explicit StaticRoutes(std::vector<StaticRoute> routes);
 
+    bool ready() const override;
     std::optional<RouteMatch> match(std::string_view method, std::string_view path) const override;
     RouteLimits limits(const RouteName &route, const AccountName &account) const override;
 
--- a/programs/pimentohollow/main.cpp
+++ b/programs/pimentohollow/main.cpp
@@ -1,5 +1,5 @@
 #include "core/logger.h"
-#include "node/node.h"
+#include "node/fleet/fleetnode.h"
 
 #include <csignal>
 #include <docopt/docopt.h>
@@ -11,11 +11,13 @@
 constexpr const char *Usage = R"(The node of pimentohollow, placed beside one upstream.
 
 Usage:
+  pimentohollow --settings=FILE
   pimentohollow --standalone=FILE
   pimentohollow (-h | --help)
   pimentohollow --version
 
 Options:
+  --settings=FILE    YAML file with the settings of a node of a fleet.
   --standalone=FILE  YAML file with the settings, routes, keys and upstreams of a node without platform.
   -h --help          Show this text.
   --version          Show the version.
@@ -23,6 +25,12 @@
 SIGTERM or SIGINT finishes all requests and ends the process; a second one ends it at once.
 )";
 
+using namespace Pimentohollow;
+
+constexpr int StartFailed = 1;
+constexpr int SettingsInvalid = 2;
+const Logger Log("main");
+
 /** Blocks the signals in all threads, so that only the main thread takes them, with sigwait(). */
 sigset_t blockSignals()
 {
@@ -42,15 +50,34 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-int run(const std::string &settingsFile)
+void waitForSignal(const sigset_t &signals)
 {
-    using namespace Pimentohollow;
-    const Logger log("main");
-    const sigset_t signals = blockSignals();
-    auto settings = loadLocalSettings(settingsFile);
+    int signal = 0;
+    sigwait(&signals, &signal);
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGINT, SIG_DFL);
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+/** Starts the node, waits for the signal and shuts down; the exit status. */
+template <typename AnyNode>
+int serve(AnyNode &node, const sigset_t &signals)
+{
+    if (const auto started = node.start(); !started) {
+        Log.error("start_failed", { { "error", started.error().describe() } });
+        return StartFailed;
+    }
+    Log.info("started");
+    waitForSignal(signals);
+    return node.shutDown() ? 0 : StartFailed;
+}
+
+int runStandalone(const std::string &file, const sigset_t &signals)
+{
+    auto settings = loadLocalSettings(file);
     if (!settings) {
-        log.error("settings_invalid", { { "error", settings.error().describe() } });
-        return 2;
+        Log.error("settings_invalid", { { "error", settings.error().describe() } });
+        return SettingsInvalid;
     }
     settings->node.incarnation = currentIncarnation();
     const StaticRoutes routes(settings->routes);
@@ -58,18 +85,22 @@
     UnlimitedQuota quota;
     StaticUpstreams upstreams(settings->upstreams);
     Node node(settings->node, { routes, keys, quota, upstreams });
-    if (const auto started = node.start(); !started) {
-        log.error("start_failed", { { "error", started.error().describe() } });
-        return 1;
-    }
     node.setReady(true);
-    log.info("started");
-    int signal = 0;
-    sigwait(&signals, &signal);
-    std::signal(SIGTERM, SIG_DFL);
-    std::signal(SIGINT, SIG_DFL);
-    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
-    return node.shutDown() ? 0 : 1;
+    return serve(node, signals);
+}
+
+int runInFleet(const std::string &file, const sigset_t &signals)
+{
+    const auto settings = loadNodeSettings(file);
+    if (!settings) {
+        for (const auto &it : settings.error()) {
+            Log.error("settings_invalid", { { "error", it.describe() } });
+        }
+        return SettingsInvalid;
+    }
+    Logger::setLevel(settings->logLevel);
+    FleetNode node(*settings, currentIncarnation());
+    return serve(node, signals);
 }
 
 } // namespace
@@ -77,5 +108,9 @@
 int main(int argc, char **argv)
 {
     const auto arguments = docopt::docopt(Usage, { argv + 1, argv + argc }, true, "pimentohollow 0.1.0");
-    return run(arguments.at("--standalone").asString());
+    const sigset_t signals = blockSignals();
+    if (arguments.at("--standalone")) {
+        return runStandalone(arguments.at("--standalone").asString(), signals);
+    }
+    return runInFleet(arguments.at("--settings").asString(), signals);
 }
