--- a/modules/claims/tests/claimstest.cpp
+++ b/modules/claims/tests/claimstest.cpp
@@ -201,7 +201,7 @@
     EXPECT_EQ(node.answer(ticket), "replay");
     table.faults.clear();
     for (int n = 0; n < 20; ++n) {
-        const std::string body(1024 * 1024, 'x');
+        const std::string body(std::size_t(1024) * 1024, 'x');
         node.registry.finish(startRun(node, std::to_string(n)), { 200, {}, body, "" });
         advance(node, 100ms);
     }
