--- a/modules/routing/health/outlierejector.cpp
+++ b/modules/routing/health/outlierejector.cpp
@@ -97,7 +97,24 @@
     const auto middle = latencies.begin() + std::ssize(latencies) / 2;
     std::nth_element(latencies.begin(), middle, latencies.end());
     return upstream.health.latency > SlowFactor * *middle
-        && upstream.health.latency - *middle > static_cast<double>(SmallestSlowness.count());
+        && upstream.health.latency - *middle > static_cast<double>(SmallestSlowness.count()) && othersHaveRoomFor(upstream, *middle);
+}
+
+bool OutlierEjector::othersHaveRoomFor(const Upstream &upstream, double usualLatency) const
+{
+    // The calls in flight shrink with the latency when others take them over.
+    const double calls = double(upstream.ownInFlight + upstream.othersInFlight) * usualLatency / upstream.health.latency;
+    const auto now = m_clock.now();
+    double room = 0;
+    const auto &upstreams = m_table.service(upstream.record.service);
+    for (const auto *list : { &upstreams.local, &upstreams.remote }) {
+        for (const auto *it : *list) {
+            if (it != &upstream && it->reachable && !it->isEjected(now)) {
+                room += std::max(it->capacity(now) * (1.0 - it->recordedLoad(now)), 0.0);
+            }
+        }
+    }
+    return room >= calls;
 }
 
 bool OutlierEjector::eject(Upstream &upstream, bool slow)
--- a/modules/routing/health/outlierejector.h
+++ b/modules/routing/health/outlierejector.h
@@ -24,7 +24,8 @@
  * Leaves out upstreams that fail or are much slower than the others of their service, at most half of a service.
  *
  * An ejected upstream comes back by itself when its time is over, with slow start and on probation: the first failure during
- * probation ejects it again for twice the time. A service that is slow as a whole raises the median, so none is ejected.
+ * probation ejects it again for twice the time. A service that is slow as a whole raises the median, so none is ejected. A slow
+ * upstream stays if the others have no room for the work that it still completes.
  */
 class OutlierEjector
 {
@@ -60,6 +61,7 @@
     void addSample(Upstream &upstream, bool failed, Duration latency);
     bool isFailing(const Upstream &upstream) const;
     bool isSlow(const Upstream &upstream) const;
+    bool othersHaveRoomFor(const Upstream &upstream, double usualLatency) const;
     bool eject(Upstream &upstream, bool slow);
 
     UpstreamTable &m_table;
--- a/modules/routing/tests/routingtest.cpp
+++ b/modules/routing/tests/routingtest.cpp
@@ -265,6 +265,25 @@
     EXPECT_EQ(ejector.ejected(Service), 2U);
 }
 
+// Guards against the ejection of a slow upstream whose work has no place elsewhere.
+TEST_F(RoutingTest, KeepsSlowUpstreamWhenOthersAreFull)
+{
+    for (const auto *it : { "a", "b" }) {
+        auto record = makeRecord(it, "here");
+        record.inFlight = 10;
+        table.apply(record, clock.now());
+    }
+    answer("b", AnswerKind::Success, 20);
+    answer("a", AnswerKind::Success, 20, 50ms);
+    EXPECT_EQ(ejector.ejected(Service), 0U);
+    auto record = makeRecord("b", "here");
+    record.sequence = 2;
+    record.inFlight = 8;
+    table.apply(record, clock.now());
+    answer("a", AnswerKind::Success, 10, 50ms);
+    EXPECT_EQ(ejector.ejected(Service), 1U);
+}
+
 // Guards against a readmitted upstream that gets full load at once, or long trust while it still fails.
 TEST_F(RoutingTest, ReadmitsSlowlyOnProbation)
 {
