--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <docopt/docopt.h>
 #include <fmt/core.h>
+#include <iterator>
 #include <thread>
 
 using namespace Pimentohollow;
@@ -19,7 +20,7 @@
 Options:
   --seed=<n>       Seed of all runs. [default: 20261204]
   --jobs=<n>       Runs at the same time. [default: 3]
-  --filter=<text>  Runs only rows that contain this text; a $ stands for the end of the row's name.
+  --filter=<text>  Prints instead one row per run whose name contains this text; a $ stands for the end of the name.
 )";
 
 struct Row {
@@ -51,7 +52,7 @@
                it.mostAttempts);
 }
 
-std::vector<Row> rowsFor(std::uint64_t seed, const std::string &filter)
+std::vector<Row> allRows(std::uint64_t seed)
 {
     std::vector<Policy> all = policies();
     const auto extra = profiles();
@@ -61,10 +62,7 @@
         for (const auto &scenario : scenarios()) {
             for (const std::uint32_t chain : { 1U, 3U, 11U }) {
                 for (const auto &policy : all) {
-                    Row row{ { deployment, scenario, policy, chain, seed }, {} };
-                    if ((title(row.experiment) + "$").find(filter) != std::string::npos) {
-                        rows.push_back(row);
-                    }
+                    rows.push_back({ { deployment, scenario, policy, chain, seed }, {} });
                 }
             }
         }
@@ -72,6 +70,29 @@
     return rows;
 }
 
+/** Rows of the first table: the baseline and the user's own profile. */
+bool comparesProfile(const Row &row)
+{
+    const std::string &policy = row.experiment.policy.name;
+    return policy == "no control" || policy == "profile " + row.experiment.deployment.name;
+}
+
+/** Rows of the second table: all policies where they differ most. */
+bool comparesPolicies(const Row &row)
+{
+    const Scenario &it = row.experiment.scenario;
+    const bool scenario = it.demandFactor == 10.0 || it.deepSlowdown > 1.0 || it.hogFactor > 1.0;
+    return row.experiment.chain == 3 && scenario;
+}
+
+template <typename Predicate>
+std::vector<Row> select(const std::vector<Row> &rows, Predicate predicate)
+{
+    std::vector<Row> selected;
+    std::copy_if(rows.begin(), rows.end(), std::back_inserter(selected), predicate);
+    return selected;
+}
+
 void runAll(std::vector<Row> &rows, unsigned jobs)
 {
     std::atomic<std::size_t> next{ 0 };
@@ -88,6 +109,18 @@
     }
 }
 
+void runAndPrint(const std::string &heading, std::vector<Row> rows, unsigned jobs)
+{
+    runAll(rows, jobs);
+    fmt::print("### {}\n\n| user | scenario | chain | policy | goodput | recovery | worst-served | wrongful refusals | wasted work "
+               "| important lost | most attempts |\n|---|---|---|---|---|---|---|---|---|---|---|\n",
+               heading);
+    for (const auto &it : rows) {
+        print(it);
+    }
+    fmt::print("\n");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -96,12 +129,15 @@
     const auto seed = static_cast<std::uint64_t>(std::stoull(arguments.at("--seed").asString()));
     const auto jobs = static_cast<unsigned>(std::clamp(std::stoi(arguments.at("--jobs").asString()), 1, 16));
     const std::string filter = arguments.at("--filter") ? arguments.at("--filter").asString() : "";
-    std::vector<Row> rows = rowsFor(seed, filter);
-    runAll(rows, jobs);
-    fmt::print("| user | scenario | chain | policy | goodput | recovery | worst-served | wrongful refusals | wasted work | important lost "
-               "| most attempts |\n|---|---|---|---|---|---|---|---|---|---|---|\n");
-    for (const auto &it : rows) {
-        print(it);
+    const std::vector<Row> all = allRows(seed);
+    if (filter.empty()) {
+        runAndPrint("Baseline against the profile of each user", select(all, comparesProfile), jobs);
+        runAndPrint("Policies and parts, chains of 3", select(all, comparesPolicies), jobs);
+        return 0;
     }
+    const auto matches = [&filter](const Row &row) {
+        return (title(row.experiment) + "$").find(filter) != std::string::npos;
+    };
+    runAndPrint("Selected runs", select(all, matches), jobs);
     return 0;
 }
--- a/bench/policy/scenario.cpp
+++ b/bench/policy/scenario.cpp
@@ -77,8 +77,17 @@
 
 std::vector<Policy> profiles()
 {
+    // Goodput and recovery: invites more work than fits and lets shares recover faster, at the price of wasted work.
     Policy jahrestag = chosen("profile Jahrestag");
+    jahrestag.admission.shares.overcommit = 1.3;
+    jahrestag.admission.shares.largestRise = 2.0;
+    // Worst-served accounts and wrongful refusals: queues longer rather than refusing, and starts with a higher limit.
     Policy agencia = chosen("profile Agencia");
+    agencia.admission.queueTime = std::chrono::milliseconds(500);
+    agencia.admission.longestWait = std::chrono::milliseconds(250);
+    GradientLimitSettings limit;
+    limit.initial = 40;
+    agencia.admission.limit = limit;
     return { jahrestag, agencia };
 }
 
