--- a/modules/admission/admissionsettings.h
+++ b/modules/admission/admissionsettings.h
@@ -9,7 +9,7 @@
 {
 
 /** Settings of ShareEstimator. */
-struct ShareSettings {
+struct AdmittedShareSettings {
     /** Length of a measuring window. */
     Duration window = std::chrono::milliseconds(100);
     /** Requests invited, as a multiple of those completed; above 1, so that an estimate that is too low leaves no slot idle. */
@@ -23,7 +23,7 @@
 struct AdmissionSettings {
     LimitSettings limit = GradientLimitSettings{};
     FairQueueSettings queue;
-    ShareSettings shares;
+    AdmittedShareSettings shares;
     /** Length of the queue in time, at the current rate of completions. */
     Duration queueTime = std::chrono::milliseconds(300);
     /** The same for important requests, which lengthen the queue when no normal one is left to displace. */
--- a/modules/admission/shareestimator.cpp
+++ b/modules/admission/shareestimator.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-ShareEstimator::ShareEstimator(ShareSettings settings)
+ShareEstimator::ShareEstimator(AdmittedShareSettings settings)
     : m_settings(settings)
 {
 }
--- a/modules/admission/shareestimator.h
+++ b/modules/admission/shareestimator.h
@@ -32,7 +32,7 @@
 class ShareEstimator
 {
 public:
-    explicit ShareEstimator(ShareSettings settings = {});
+    explicit ShareEstimator(AdmittedShareSettings settings = {});
 
     /** Counts a request that arrived. @param chained whether it is a child call, which the nodes above thin out */
     void arrived(Priority priority, bool chained, TimePoint now);
@@ -62,7 +62,7 @@
     double demand(Priority priority) const;
     double limitChange(double share, double target) const;
 
-    ShareSettings m_settings;
+    AdmittedShareSettings m_settings;
     /** As estimated; normal requests are reported as 0 while important ones are thinned. */
     AdmittedShares m_shares;
     /** The shares of the last windows; calls on the way were admitted under one of them. */
