Retry refusals of draining nodes without charging the retry ratio

Cause: under a drain 10 of 120 orders were refused: the retry ratio starts empty, and the entry node chose the draining node again until gossip told it. Ruled out: an interrupted request; all refusals said draining and not run. Change: a refusal by a draining node isn't charged to the ratio and excludes that node for 3 s; both have tests.

--- a/modules/node/routing/routedupstreams.cpp
+++ b/modules/node/routing/routedupstreams.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/** Gossip spreads the state of a draining node within 2 s; until then its own refusal is remembered. */
+constexpr auto DrainingMemory = std::chrono::seconds(3);
+
 std::string peerAddress(const NodeAddress &address)
 {
     const bool isIpv6 = address.host.find(':') != std::string::npos;
@@ -69,7 +72,7 @@
 std::optional<UpstreamTarget> RoutedUpstreams::choose(const RequestContext &context, const std::vector<NodeName> &tried)
 {
     const std::lock_guard lock(m_mutex);
-    const auto selection = m_selector.choose(context.service, tried);
+    const auto selection = m_selector.choose(context.service, excluded(tried));
     if (!selection) {
         return std::nullopt;
     }
@@ -84,7 +87,20 @@
 bool RoutedUpstreams::hasOther(const RequestContext &context, const std::vector<NodeName> &tried)
 {
     const std::lock_guard lock(m_mutex);
-    return m_selector.choose(context.service, tried).has_value();
+    return m_selector.choose(context.service, excluded(tried)).has_value();
+}
+
+std::vector<NodeName> RoutedUpstreams::excluded(const std::vector<NodeName> &tried)
+{
+    const TimePoint now = m_clock.now();
+    std::erase_if(m_drainingUntil, [now](const auto &it) {
+        return it.second <= now;
+    });
+    std::vector<NodeName> result = tried;
+    for (const auto &[node, until] : m_drainingUntil) {
+        result.push_back(node);
+    }
+    return result;
 }
 
 void RoutedUpstreams::finished(const RequestContext & /*context*/,
@@ -95,6 +111,9 @@
     const std::lock_guard lock(m_mutex);
     m_table.callEnded(target.node);
     m_ejector.onAnswer(target.node, answerKind(response.result), took);
+    if (const auto *refusal = std::get_if<Refusal>(&response.result); refusal && refusal->reason == RefusalReason::Draining) {
+        m_drainingUntil[target.node] = m_clock.now() + DrainingMemory;
+    }
     if (response.upstream && response.upstream->node == target.node) {
         m_table.apply(*response.upstream, m_clock.now());
     }
--- a/modules/node/routing/routedupstreams.h
+++ b/modules/node/routing/routedupstreams.h
@@ -28,6 +28,9 @@
     void finished(const RequestContext &context, const UpstreamTarget &target, const CallResponse &response, Duration took) override;
 
 private:
+    /** @p tried and the nodes that lately refused because they drain. */
+    std::vector<NodeName> excluded(const std::vector<NodeName> &tried);
+
     std::mutex m_mutex;
     const Clock &m_clock;
     Random m_random;
@@ -36,6 +39,8 @@
     OutlierEjector m_ejector;
     ServiceLoad m_load;
     std::unordered_map<NodeName, std::string> m_peerAddresses;
+    /** Nodes that refused because they drain, and until when they aren't chosen. */
+    std::unordered_map<NodeName, TimePoint> m_drainingUntil;
 };
 
 /** How an answer counts for the health of the upstream that gave it. */
--- a/modules/node/tests/routedupstreamstest.cpp
+++ b/modules/node/tests/routedupstreamstest.cpp
@@ -73,6 +73,18 @@
     EXPECT_EQ(choose(), "[fd00::2]:7000");
 }
 
+// Guards against more calls to a draining node before gossip tells of it, and against a node that stays excluded.
+TEST_F(RoutedUpstreamsTest, AvoidsANodeThatRefusedBecauseItDrains)
+{
+    const UpstreamTarget near{ NodeName("near"), "10.0.0.1:7000" };
+    EXPECT_EQ(choose(), "10.0.0.1:7000");
+    upstreams.finished(context, near, { 0, Refusal{ RefusalReason::Draining, RunState::NotRun, {}, "" }, 0, std::nullopt }, 1ms);
+    EXPECT_EQ(choose(), "[fd00::2]:7000");
+    clock.advance(4s);
+    upstreams.update(snapshot);
+    EXPECT_EQ(choose(), "10.0.0.1:7000");
+}
+
 // Guards against an upstream ejected because it truthfully refused work under load.
 TEST(AnswerKindTest, TellsRefusalsFromFailures)
 {
--- a/modules/retries/retrypolicy.cpp
+++ b/modules/retries/retrypolicy.cpp
@@ -46,7 +46,10 @@
     if (budget.left() == 0) {
         return GiveUp{ GiveUpReason::BudgetSpent };
     }
-    if (!ratio.tryConsume()) {
+    // A draining node refuses without work and is chosen no more, so these retries can't grow into a storm; charging them
+    // would turn a rolling upgrade into refusals.
+    const bool chargesRatio = attempt.reason != RefusalReason::Draining;
+    if (chargesRatio && !ratio.tryConsume()) {
         return GiveUp{ GiveUpReason::RatioSpent };
     }
     budget.tryConsume();
--- a/modules/retries/retrypolicy.h
+++ b/modules/retries/retrypolicy.h
@@ -54,7 +54,7 @@
 class RetryPolicy
 {
 public:
-    /** Charges @p budget and @p ratio only if it decides to retry. */
+    /** Charges @p budget and @p ratio only if it decides to retry; a refusal by a draining node isn't charged to the ratio. */
     static RetryDecision
     decide(const RequestContext &context, const FailedAttempt &attempt, TimePoint now, RetryBudget &budget, RetryRatio &ratio);
 
--- a/modules/retries/tests/retriestest.cpp
+++ b/modules/retries/tests/retriestest.cpp
@@ -141,7 +141,9 @@
         PolicyCase{ "Alone", RefusalReason::Overloaded, RunState::NotRun, true, false, 1s, 2, 10, GiveUpReason::NoOtherUpstream },
         PolicyCase{ "Late", RefusalReason::Overloaded, RunState::NotRun, true, true, 20ms, 2, 10, GiveUpReason::DeadlineTooClose },
         PolicyCase{ "NoBudget", RefusalReason::Overloaded, RunState::NotRun, true, true, 1s, 0, 10, GiveUpReason::BudgetSpent },
-        PolicyCase{ "NoRatio", RefusalReason::Overloaded, RunState::NotRun, true, true, 1s, 2, 9, GiveUpReason::RatioSpent }),
+        PolicyCase{ "NoRatio", RefusalReason::Overloaded, RunState::NotRun, true, true, 1s, 2, 9, GiveUpReason::RatioSpent },
+        PolicyCase{ "Draining", RefusalReason::Draining, RunState::NotRun, false, true, 1s, 2, 9, {} },
+        PolicyCase{ "DrainingNoBudget", RefusalReason::Draining, RunState::NotRun, true, true, 1s, 0, 10, GiveUpReason::BudgetSpent }),
     [](const auto &testInfo) {
         return std::string(testInfo.param.name);
     });
--- a/modules/runtime/tests/configurationtasktest.cpp
+++ b/modules/runtime/tests/configurationtasktest.cpp
@@ -60,7 +60,8 @@
 class TestNode
 {
 public:
-    TestNode(const std::string &name, TableService &table, ObjectStore &objects, const Clock &clock, const std::optional<GossipEndpoint> &seed)
+    TestNode(
+        const std::string &name, TableService &table, ObjectStore &objects, const Clock &clock, const std::optional<GossipEndpoint> &seed)
         : m_store(table, objects)
         , m_codec("fleet secret", std::size_t{ 4 } * 1024 * 1024)
         , m_peers(m_codec, options(name))
