--- a/modules/claims/batching/claimbatcher.cpp
+++ b/modules/claims/batching/claimbatcher.cpp
@@ -1,5 +1,7 @@
 #include "claims/batching/claimbatcher.h"
 
+#include "claims/batching/groupoperations.h"
+
 #include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
@@ -10,30 +12,6 @@
 namespace
 {
 
-const ClaimKey &keyOf(const GroupItem &item)
-{
-    if (const auto *it = std::get_if<ClaimItem>(&item)) {
-        return it->claim.key;
-    }
-    if (const auto *it = std::get_if<OutcomeItem>(&item)) {
-        return it->claim.key;
-    }
-    return std::get<ReleaseItem>(item).claim.key;
-}
-
-TableOperation upkeepOperation(const GroupItem &item)
-{
-    if (const auto *it = std::get_if<OutcomeItem>(&item)) {
-        const RowCondition condition = AttributeEquals{ std::string(ClaimIdAttribute), it->claim.claimId };
-        const PutRow put{ claimRowKey(it->claim.key), claimToRow(it->claim), condition };
-        return put;
-    }
-    const auto &claim = std::get<ReleaseItem>(item).claim;
-    const RowCondition condition = AttributeEquals{ std::string(ClaimIdAttribute), claim.claimId };
-    const DeleteRow remove{ claimRowKey(claim.key), condition };
-    return remove;
-}
-
 bool mayHaveTakenEffect(ErrorKind kind)
 {
     return kind == ErrorKind::Timeout || kind == ErrorKind::OutcomeUnknown || kind == ErrorKind::Internal;
@@ -189,25 +167,11 @@
 
 std::vector<TableOperation> ClaimBatcher::operationsOf(const Group &group) const
 {
-    std::vector<TableOperation> operations;
-    for (const auto &it : group.upkeep) {
-        operations.push_back(upkeepOperation(it));
-    }
-    // Named operations are copied: GCC 12 warns falsely about the uninitialised alternative of a moved condition.
-    std::vector<ClaimReference> references;
-    WallTime latestExpiry{};
+    std::vector<Claim> claims;
     for (const auto &it : group.claims) {
-        const auto &claim = it.item.claim;
-        const PutRow put{ claimRowKey(claim.key), claimToRow(claim), RowAbsent{} };
-        operations.emplace_back(put);
-        references.push_back({ claim.key, claim.claimId });
-        latestExpiry = std::max(latestExpiry, claim.expiresAt);
-    }
-    if (!references.empty()) {
-        const PutRow put{ expiryRowKey(m_dataCentre, latestExpiry, group.token), expiryRow(references), NoCondition{} };
-        operations.emplace_back(put);
+        claims.push_back(it.item.claim);
     }
-    return operations;
+    return groupOperations(group.upkeep, claims, m_dataCentre, group.token);
 }
 
 std::string ClaimBatcher::newToken()
--- a/modules/claims/registry/claimregistry.cpp
+++ b/modules/claims/registry/claimregistry.cpp
@@ -1,5 +1,7 @@
 #include "claims/registry/claimregistry.h"
 
+#include "claims/registry/claimrefusals.h"
+
 #include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
@@ -17,31 +19,6 @@
 template <typename... Ts>
 Overloaded(Ts...) -> Overloaded<Ts...>;
 
-Refusal lostRefusal()
-{
-    return Refusal{ RefusalReason::OutcomeLost, RunState::Unknown, {}, "the request may have run, but its outcome was not recorded" };
-}
-
-Refusal notRunRefusal()
-{
-    return Refusal{ RefusalReason::PlatformUnavailable,
-                    RunState::NotRun,
-                    ClaimRegistry::RefusalRetryAfter,
-                    "this attempt was not run because its claim could not be recorded" };
-}
-
-Refusal inProgressRefusal()
-{
-    return Refusal{
-        RefusalReason::InProgress, RunState::Unknown, ClaimRegistry::RefusalRetryAfter, "a request with the same Idempotency-Key is running"
-    };
-}
-
-Refusal reusedRefusal()
-{
-    return Refusal{ RefusalReason::IdempotencyKeyReused, RunState::NotRun, {}, "the Idempotency-Key was used for another request" };
-}
-
 } // namespace
 
 ClaimRegistry::ClaimRegistry(ClaimOwner self, const Clock &clock, Random &random, LivenessFunction liveness)
@@ -432,7 +409,7 @@
 
 void ClaimRegistry::refuse(ClaimTicket ticket, RefusalReason reason, RunState ran, const std::string &detail)
 {
-    const Duration retryAfter = reason == RefusalReason::BadRequest ? Duration() : RefusalRetryAfter;
+    const Duration retryAfter = reason == RefusalReason::BadRequest ? Duration() : ClaimRetryAfter;
     answer(ticket, Refusal{ reason, ran, retryAfter, detail });
 }
 
--- a/modules/claims/registry/claimregistry.h
+++ b/modules/claims/registry/claimregistry.h
@@ -35,7 +35,6 @@
     static constexpr Duration GrantLifetime = std::chrono::minutes(1);
     /** Pause before an object that could not be written is written again. */
     static constexpr Duration BodyRetryDelay = std::chrono::seconds(1);
-    static constexpr Duration RefusalRetryAfter = std::chrono::seconds(1);
     static constexpr std::size_t MostEntries = 10000;
     /** Abandoned claims that a resend may still release; beyond this the oldest one ends as "unknown" for a resend. */
     static constexpr std::size_t MostAbandoned = 4096;
