--- a/modules/claims/batching/groupoperations.cpp
+++ b/modules/claims/batching/groupoperations.cpp
@@ -40,6 +40,7 @@
                                             const std::string &token)
 {
     std::vector<TableOperation> operations;
+    operations.reserve(upkeep.size() + claims.size() + 1);
     for (const auto &it : upkeep) {
         operations.push_back(upkeepOperation(it));
     }
