--- a/bench/admission/main.cpp
+++ b/bench/admission/main.cpp
@@ -43,7 +43,7 @@
     TimePoint now = Start;
     AdmissionTicket ticket = 0;
     const std::uint64_t before = allocationCount();
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         now += 100us;
         ++ticket;
         benchmark::DoNotOptimize(controller.submit(ticket, all[ticket % all.size()], now));
@@ -74,7 +74,7 @@
     }
     std::size_t next = 0;
     const std::uint64_t before = allocationCount();
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         now += 600us;
         submit();
         submit();
@@ -95,7 +95,7 @@
     TimePoint now = Start;
     std::size_t n = 0;
     const std::uint64_t before = allocationCount();
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         now += 20us;
         const RequestContext &it = all[++n % all.size()];
         benchmark::DoNotOptimize(gate.admit(it.route, it.account, it.priority, now));
@@ -109,7 +109,7 @@
     const auto all = contexts(1);
     RetryRatio ratio;
     const std::uint64_t before = allocationCount();
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         RetryBudget budget;
         ratio.recordFirstAttempt();
         const FailedAttempt attempt{ RefusalReason::Overloaded, RunState::NotRun, true, 20ms };
