Charge the retry ratio only for attempts that reached a node

Cause: after a serving node was killed, orders were refused with no_upstream although another node was free: the ratio starts empty, and a connection refused by a dead node was charged to it. The drain test also failed because its setup waited for one of the two upstreams only. Ruled out: a second run; all refusals were true for their attempt. Change: attempts that found no node, or a draining one, are retried without the ratio, still within the request's budget; the setup waits until both upstreams have served. Conclusion: a lost or replaced node no longer causes refusals while another one is free.

--- a/modules/retries/retrypolicy.cpp
+++ b/modules/retries/retrypolicy.cpp
@@ -28,6 +28,11 @@
     return false;
 }
 
+bool RetryPolicy::reachedNode(RefusalReason reason)
+{
+    return reason != RefusalReason::Draining && reason != RefusalReason::NoUpstream;
+}
+
 RetryDecision
 RetryPolicy::decide(const RequestContext &context, const FailedAttempt &attempt, TimePoint now, RetryBudget &budget, RetryRatio &ratio)
 {
@@ -46,10 +51,7 @@
     if (budget.left() == 0) {
         return GiveUp{ GiveUpReason::BudgetSpent };
     }
-    // A draining node refuses without work and is chosen no more, so these retries can't grow into a storm; charging them
-    // would turn a rolling upgrade into refusals.
-    const bool chargesRatio = attempt.reason != RefusalReason::Draining;
-    if (chargesRatio && !ratio.tryConsume()) {
+    if (reachedNode(attempt.reason) && !ratio.tryConsume()) {
         return GiveUp{ GiveUpReason::RatioSpent };
     }
     budget.tryConsume();
--- a/modules/retries/retrypolicy.h
+++ b/modules/retries/retrypolicy.h
@@ -54,12 +54,18 @@
 class RetryPolicy
 {
 public:
-    /** Charges @p budget and @p ratio only if it decides to retry; a refusal by a draining node isn't charged to the ratio. */
+    /** Charges @p budget and @p ratio only if it decides to retry; the ratio only after attempts that reached a node. */
     static RetryDecision
     decide(const RequestContext &context, const FailedAttempt &attempt, TimePoint now, RetryBudget &budget, RetryRatio &ratio);
 
     /** Whether another upstream could do better; false for refusals that concern the request, the account or a deeper service. */
     static bool isUseful(RefusalReason reason);
+
+    /**
+     * False if the attempt found no serving node, or one that drains and refuses without work. Its retry adds no load, and
+     * charging it to the ratio would turn a failed or upgraded node into refusals.
+     */
+    static bool reachedNode(RefusalReason reason);
 };
 
 } // namespace Pimentohollow
--- a/modules/retries/tests/retriestest.cpp
+++ b/modules/retries/tests/retriestest.cpp
@@ -143,6 +143,7 @@
         PolicyCase{ "NoBudget", RefusalReason::Overloaded, RunState::NotRun, true, true, 1s, 0, 10, GiveUpReason::BudgetSpent },
         PolicyCase{ "NoRatio", RefusalReason::Overloaded, RunState::NotRun, true, true, 1s, 2, 9, GiveUpReason::RatioSpent },
         PolicyCase{ "Draining", RefusalReason::Draining, RunState::NotRun, false, true, 1s, 2, 9, {} },
+        PolicyCase{ "NoUpstream", RefusalReason::NoUpstream, RunState::NotRun, false, true, 1s, 2, 9, {} },
         PolicyCase{ "DrainingNoBudget", RefusalReason::Draining, RunState::NotRun, true, true, 1s, 0, 10, GiveUpReason::BudgetSpent }),
     [](const auto &testInfo) {
         return std::string(testInfo.param.name);
--- a/testing/process/tests/faulttest.cpp
+++ b/testing/process/tests/faulttest.cpp
@@ -22,8 +22,10 @@
         entry.node = fleet.startNode("a");
         first = startSite("b");
         second = startSite("c");
+        // Both upstreams have served a lookup, so the entry node knows both.
         EXPECT_TRUE(eventually([this] {
-            return lookup() == 200;
+            entry.caller().get("/echo", withKey({ { "X-Test-Id", "setup" } }));
+            return first.control("runs?id=setup") != "0" && second.control("runs?id=setup") != "0";
         }));
     }
 
