Extend and return loans of tokens, and follow demand sooner

Now a taker returns loans that it doesn't need, waiting requests go on to further peers after empty answers, and low buckets are topped up.

--- a/modules/messages/gossip/gossipmessage.h
+++ b/modules/messages/gossip/gossipmessage.h
@@ -149,13 +149,15 @@
     std::uint32_t loanMilliseconds = 0;
     /** The loan takes the place of the giver's earlier one to the same taker, which was not greater. */
     bool extends = false;
+    /** Sent by the taker, which no longer needs the loan that it got with @ref request; @ref tokens go back with it. */
+    bool returns = false;
 
     bool operator==(const TokenGrant &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(request, account, tokens, rate, capacity, loanMilliseconds, extends);
+        archive(request, account, tokens, rate, capacity, loanMilliseconds, extends, returns);
     }
 };
 
--- a/modules/quota/bucket/quotaledger.cpp
+++ b/modules/quota/bucket/quotaledger.cpp
@@ -9,7 +9,7 @@
 
 namespace
 {
-/** Short enough to follow a shift within two loans. */
+/** Short enough to follow a shift before the tokens at hand are used up. */
 constexpr double ShortTermSeconds = 1.0;
 /** Long enough that the demand of a few requests per second doesn't look idle between two of them. */
 constexpr double LongTermSeconds = 5.0;
@@ -94,14 +94,19 @@
     return it->second.shortTerm * std::exp(-age / ShortTermSeconds);
 }
 
-double QuotaLedger::steadyDemand(const AccountName &account, TimePoint now) const
+double QuotaLedger::averageDemand(const AccountName &account, TimePoint now) const
 {
     const auto it = m_demand.find(account);
     if (it == m_demand.end()) {
         return 0;
     }
     const auto age = std::max(0.0, std::chrono::duration<double>(now - it->second.at).count());
-    return std::max(demand(account, now), it->second.longTerm * std::exp(-age / LongTermSeconds));
+    return it->second.longTerm * std::exp(-age / LongTermSeconds);
+}
+
+double QuotaLedger::steadyDemand(const AccountName &account, TimePoint now) const
+{
+    return std::max(demand(account, now), averageDemand(account, now));
 }
 
 TimePoint QuotaLedger::lastRequest(const AccountName &account) const
--- a/modules/quota/bucket/quotaledger.h
+++ b/modules/quota/bucket/quotaledger.h
@@ -72,7 +72,9 @@
 
     /** Requests per second over about the last second. */
     double demand(const AccountName &account, TimePoint now) const;
-    /** The greater of the demand over the last second and over the last five; what is lent must not be missed at once. */
+    /** Requests per second over about the last five seconds. */
+    double averageDemand(const AccountName &account, TimePoint now) const;
+    /** The greater of the two; what is lent must not be missed at once. */
     double steadyDemand(const AccountName &account, TimePoint now) const;
     /** When the last request came, or the clock's epoch. */
     TimePoint lastRequest(const AccountName &account) const;
--- a/modules/quota/bucket/tokenbucket.cpp
+++ b/modules/quota/bucket/tokenbucket.cpp
@@ -97,13 +97,14 @@
     });
 }
 
-void TokenBucket::lend(std::uint64_t tokens, const BucketLimits &part, const NodeName &borrower, TimePoint until, TimePoint now)
+void TokenBucket::lend(
+    std::uint64_t tokens, const BucketLimits &part, const NodeName &borrower, std::uint64_t id, TimePoint until, TimePoint now)
 {
     settle(now);
     assert(tokens <= m_tokens);
     m_tokens -= tokens;
     m_lent = m_lent + part;
-    insert({ until, part, borrower, false });
+    insert({ until, part, borrower, id, false });
     m_tokens = std::min(m_tokens, current().capacity);
 }
 
@@ -120,7 +121,8 @@
     return m_lent.rate <= m_base.rate && m_lent.capacity <= m_base.capacity;
 }
 
-void TokenBucket::extendLoan(std::uint64_t tokens, const BucketLimits &more, const NodeName &borrower, TimePoint until, TimePoint now)
+void TokenBucket::extendLoan(
+    std::uint64_t tokens, const BucketLimits &more, const NodeName &borrower, std::uint64_t id, TimePoint until, TimePoint now)
 {
     settle(now);
     const auto it = findRateLoan(borrower, false);
@@ -128,18 +130,46 @@
     auto loan = *it;
     loan.until = std::max(loan.until, until);
     loan.part = loan.part + more;
+    loan.id = id;
     m_loans.erase(it);
     insert(std::move(loan));
     m_lent = m_lent + more;
     m_tokens = std::min(m_tokens - tokens, current().capacity);
 }
 
+void TokenBucket::takeBack(std::uint64_t tokens, const NodeName &borrower, std::uint64_t id, TimePoint now)
+{
+    settle(now);
+    const auto it = findRateLoan(borrower, false);
+    if (it == m_loans.end() || it->id != id) {
+        return;
+    }
+    const auto returned = std::min(tokens, it->part.capacity);
+    m_lent = m_lent - it->part;
+    m_loans.erase(it);
+    m_tokens = std::min(m_tokens + returned, current().capacity);
+}
+
+std::uint64_t TokenBucket::giveBack(const NodeName &lender, TimePoint now)
+{
+    settle(now);
+    const auto it = findRateLoan(lender, true);
+    if (it == m_loans.end()) {
+        return 0;
+    }
+    m_borrowed = m_borrowed - it->part;
+    m_loans.erase(it);
+    const auto excess = difference(m_tokens, current().capacity);
+    m_tokens -= excess;
+    return excess;
+}
+
 void TokenBucket::borrow(std::uint64_t tokens, const BucketLimits &part, const NodeName &lender, TimePoint until, TimePoint now)
 {
     settle(now);
     if (until > now) {
         m_borrowed = m_borrowed + part;
-        insert({ until, part, lender, true });
+        insert({ until, part, lender, 0, true });
     }
     m_tokens = std::min(m_tokens + tokens, current().capacity);
 }
--- a/modules/quota/bucket/tokenbucket.h
+++ b/modules/quota/bucket/tokenbucket.h
@@ -56,8 +56,8 @@
 
     bool hasLent(TimePoint now);
 
-    /** Gives away @p tokens and lends @p part to @p borrower until @p until. */
-    void lend(std::uint64_t tokens, const BucketLimits &part, const NodeName &borrower, TimePoint until, TimePoint now);
+    /** Gives away @p tokens and lends @p part to @p borrower until @p until. @param id identifies the loan */
+    void lend(std::uint64_t tokens, const BucketLimits &part, const NodeName &borrower, std::uint64_t id, TimePoint until, TimePoint now);
 
     /** The loan of rate to @p borrower that runs now, if there is one. */
     std::optional<BucketLimits> lentTo(const NodeName &borrower, TimePoint now);
@@ -66,7 +66,14 @@
     bool coversLoans(TimePoint now);
 
     /** Gives away @p tokens, lets that loan end at @p until instead, and adds @p more to it. */
-    void extendLoan(std::uint64_t tokens, const BucketLimits &more, const NodeName &borrower, TimePoint until, TimePoint now);
+    void
+    extendLoan(std::uint64_t tokens, const BucketLimits &more, const NodeName &borrower, std::uint64_t id, TimePoint until, TimePoint now);
+
+    /** The borrower stopped using the loan @p id and returns @p tokens; nothing if the loan was extended since. */
+    void takeBack(std::uint64_t tokens, const NodeName &borrower, std::uint64_t id, TimePoint now);
+
+    /** Stops using the loan of rate from @p lender; the result are the tokens that no longer fit. */
+    std::uint64_t giveBack(const NodeName &lender, TimePoint now);
 
     /** Adds @p tokens and borrows @p part from @p lender until @p until; tokens beyond the capacity are dropped. */
     void borrow(std::uint64_t tokens, const BucketLimits &part, const NodeName &lender, TimePoint until, TimePoint now);
@@ -82,6 +89,7 @@
         TimePoint until{};
         BucketLimits part;
         NodeName peer;
+        std::uint64_t id = 0;
         bool borrowed = false;
     };
 
--- a/modules/quota/exchange/grantpolicy.cpp
+++ b/modules/quota/exchange/grantpolicy.cpp
@@ -41,7 +41,7 @@
 
 TokenGrant GrantPolicy::spare(const NodeName &taker, const TokenRequest &request, TimePoint now)
 {
-    TokenGrant grant{ request.request, request.account, 0, 0, 0, 0, false };
+    TokenGrant grant{ request.request, request.account, 0, 0, 0, 0, false, false };
     auto *bucket = m_ledger.bucket(request.account, now);
     if (bucket == nullptr) {
         return grant;
@@ -61,7 +61,7 @@
 
 TokenGrant GrantPolicy::everything(const NodeName &taker, const TokenRequest &request, TimePoint now)
 {
-    TokenGrant grant{ request.request, request.account, 0, 0, 0, 0, false };
+    TokenGrant grant{ request.request, request.account, 0, 0, 0, 0, false, false };
     auto *bucket = m_ledger.bucket(request.account, now);
     if (bucket == nullptr) {
         return grant;
@@ -75,7 +75,7 @@
 
 TokenGrant GrantPolicy::wholeTokens(const NodeName &taker, const TokenRequest &request, TimePoint now)
 {
-    TokenGrant grant{ request.request, request.account, 0, 0, 0, 0, false };
+    TokenGrant grant{ request.request, request.account, 0, 0, 0, 0, false, false };
     auto *bucket = m_ledger.bucket(request.account, now);
     if (bucket == nullptr) {
         return grant;
@@ -103,7 +103,7 @@
     const auto end = TransferTimes::lenderEnd(loan, now);
     const bool nothing = grant.tokens == 0 && grant.rate == 0 && !running;
     if (nothing || end > m_ledger.firstLeaseEnd(now) || (running && !bucket.coversLoans(now))) {
-        return { grant.request, grant.account, 0, 0, 0, 0, false };
+        return { grant.request, grant.account, 0, 0, 0, 0, false, false };
     }
     // Tokens that no longer fit are given along instead of being dropped.
     const auto capacity = bucket.limits(now).capacity;
@@ -116,14 +116,14 @@
         return grant;
     }
     const BucketLimits part = m_faults.giverKeepsCapacity ? BucketLimits{} : BucketLimits{ grant.rate, grant.capacity };
-    bucket.lend(m_faults.giverKeepsTokens ? 0 : grant.tokens, part, taker, end, now);
+    bucket.lend(m_faults.giverKeepsTokens ? 0 : grant.tokens, part, taker, grant.request, end, now);
     return grant;
 }
 
 void GrantPolicy::extend(TokenBucket &bucket, const NodeName &taker, const BucketLimits &part, TokenGrant &grant, TimePoint now)
 {
     const auto end = TransferTimes::lenderEnd(TransferTimes::RateLoan, now);
-    bucket.extendLoan(m_faults.giverKeepsTokens ? 0 : grant.tokens, { grant.rate, grant.capacity }, taker, end, now);
+    bucket.extendLoan(m_faults.giverKeepsTokens ? 0 : grant.tokens, { grant.rate, grant.capacity }, taker, grant.request, end, now);
     grant.rate += part.rate;
     grant.capacity += part.capacity;
     grant.extends = true;
--- a/modules/quota/exchange/tokenexchange.cpp
+++ b/modules/quota/exchange/tokenexchange.cpp
@@ -1,6 +1,7 @@
 #include "quota/exchange/tokenexchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Pimentohollow
@@ -15,6 +16,8 @@
 constexpr Duration RoundInterval = std::chrono::milliseconds(100);
 /** Between rounds that waiting requests cause. */
 constexpr Duration UrgentInterval = std::chrono::milliseconds(10);
+/** Before a lender whose loan grew is asked for more. */
+constexpr Duration GrowthInterval = std::chrono::milliseconds(50);
 constexpr Duration ShortestBackoff = std::chrono::milliseconds(200);
 /** An account that uses its whole rate finds nothing anywhere; asking slows down to this. */
 constexpr Duration LongestBackoff = std::chrono::milliseconds(1600);
@@ -23,8 +26,22 @@
 /** Tokens that last this long at the present demand need no loan. */
 constexpr double StockSeconds = 2.0;
 constexpr double DemandHeadroom = 1.1;
+/** Loans above this multiple of the demand go back; the distance to the headroom keeps them from moving to and fro. */
+constexpr double SurplusFactor = 1.3;
+/** While requests find no token, the demand is still growing or was underestimated. */
+constexpr double EmptyFactor = 2.0;
+/** Tokens that last less than this are topped up before requests find none. */
+constexpr double LowStockSeconds = 0.3;
+/** Tokens asked for along with the rate, as a time at the present demand. */
+constexpr double TokensSeconds = 0.5;
 /** Requests per second below which a node doesn't prefetch. */
 constexpr double LeastDemand = 0.5;
+/** Almost three times the standard deviation of demand() when requests arrive at random with this rate. */
+double chance(double requestsPerSecond)
+{
+    return 2.0 * std::sqrt(requestsPerSecond);
+}
+
 constexpr Duration HomeEmptyTime = std::chrono::milliseconds(50);
 /** A home keeps the tokens of a small account gathered for this long after the last request. */
 constexpr Duration HomeActiveTime = std::chrono::minutes(10);
@@ -76,7 +93,8 @@
     }
     auto &flow = m_flows[account];
     const auto deadline = firstTried.value_or(now) + WaitTime;
-    if (!firstTried) {
+    // After empty answers the remaining peers are asked, as long as the request may wait.
+    if (!firstTried || (now < deadline && flow.outstanding == 0)) {
         seek(account, flow, homeOf(account), now);
     }
     if (now >= deadline || hopeless(account, flow, now)) {
@@ -99,8 +117,9 @@
             }
             continue;
         }
+        returnSurplus(account, flow, now);
         const bool idle = m_ledger.demand(account, now) < LeastDemand;
-        if (!idle && now >= flow.nextRound && missingRate(account, now) > 0) {
+        if (!idle && now >= flow.nextRound && (missingRate(account, now) > 0 || lowStock(account, now))) {
             flow.nextRound = now + RoundInterval;
             askPeers(account, flow, PeersPerRound, now);
         }
@@ -128,6 +147,12 @@
 
 bool TokenExchange::receive(const NodeName &sender, const TokenGrant &grant, TimePoint now)
 {
+    if (grant.returns) {
+        if (auto *bucket = m_ledger.bucket(grant.account, now)) {
+            bucket->takeBack(grant.tokens, sender, grant.request, now);
+        }
+        return false;
+    }
     const auto it = m_pending.find(grant.request);
     const bool known = it != m_pending.end() && it->second.to == sender && it->second.account == grant.account;
     if (!known || (now - it->second.sentAt > TransferTimes::Window && !m_faults.lateGrantsAccepted)) {
@@ -140,6 +165,7 @@
     }
     auto &flow = m_flows[grant.account];
     noteGrant(flow, pending, grant, now);
+    flow.lenders[sender].loan = grant.rate > 0 ? grant.request : flow.lenders[sender].loan;
     auto *bucket = m_ledger.bucket(grant.account, now);
     if (bucket == nullptr) {
         return false;
@@ -191,7 +217,7 @@
         if (now >= flow.emptyUntil && flow.outstanding < MaximumOutstanding) {
             sendRequest(*home, account, OneToken, 0, now);
         }
-    } else if (now >= flow.lastUrgent + UrgentInterval) {
+    } else if (flow.outstanding == 0 || now >= flow.lastUrgent + UrgentInterval) {
         flow.lastUrgent = now;
         askPeers(account, flow, PeersPerUrgentRound, now);
     }
@@ -211,7 +237,7 @@
 {
     auto rate = missingRate(account, now);
     const auto demand = m_ledger.demand(account, now) * static_cast<double>(OneToken);
-    const auto tokens = std::max(OneToken, static_cast<std::uint64_t>(demand * std::chrono::duration<double>(RoundInterval).count()));
+    const auto tokens = std::max(OneToken, static_cast<std::uint64_t>(demand * TokensSeconds));
     // Loans that end soon are extended before others are asked for more.
     for (const auto &[node, lender] : std::map(flow.lenders)) {
         const bool ending = lender.until > now && lender.until - now <= LookAhead;
@@ -220,8 +246,8 @@
             rate -= std::min(rate, lender.rate);
         }
     }
-    const bool empty = m_ledger.bucket(account, now)->tokens(now) < OneToken;
-    for (std::size_t n = 0; n < m_holders.size() && count > 0 && (rate > 0 || empty); ++n) {
+    const bool low = lowStock(account, now);
+    for (std::size_t n = 0; n < m_holders.size() && count > 0 && (rate > 0 || low); ++n) {
         flow.cursor = flow.cursor < m_holders.size() ? flow.cursor : 0;
         const auto &node = m_holders[flow.cursor++].node;
         const auto &lender = flow.lenders[node];
@@ -241,6 +267,24 @@
     sendRequest(node, account, tokens, rate, now);
 }
 
+void TokenExchange::returnSurplus(const AccountName &account, Flow &flow, TimePoint now)
+{
+    auto *bucket = m_ledger.bucket(account, now);
+    const auto demand = m_ledger.demand(account, now);
+    const auto needed = (demand + chance(demand + 1)) * SurplusFactor * static_cast<double>(OneToken);
+    for (auto &[node, lender] : flow.lenders) {
+        const bool running = lender.until > now && lender.rate > 0 && !lender.asked;
+        if (!running || static_cast<double>(bucket->limits(now).rate) - static_cast<double>(lender.rate) < needed) {
+            continue;
+        }
+        // This node stops first; a return that is lost or late changes nothing, the loan ends by itself.
+        const auto tokens = bucket->giveBack(node, now);
+        sendGrant(node, { lender.loan, account, tokens, 0, 0, 0, false, true });
+        lender.rate = 0;
+        lender.until = {};
+    }
+}
+
 void TokenExchange::collect(const AccountName &account, Flow &flow, TimePoint now)
 {
     const auto rate = m_ledger.rate(account);
@@ -294,7 +338,7 @@
         lender.rate = grant.rate;
         lender.until = pending.sentAt + TransferTimes::RateLoan;
         // One that gave all it can is asked again when the loan is to be extended.
-        lender.nextAsk = grown && !home ? now + ShortestBackoff : lender.until - TransferTimes::Renewal;
+        lender.nextAsk = grown && !home ? now + GrowthInterval : lender.until - TransferTimes::Renewal;
     } else {
         lender.nextAsk = now + (empty ? std::max(ShortestBackoff, flow.backoff) : RoundInterval);
     }
@@ -320,13 +364,25 @@
     if (bucket == nullptr) {
         return 0;
     }
-    const auto needed = m_ledger.demand(account, now) * DemandHeadroom * static_cast<double>(OneToken);
+    const auto demand = m_ledger.demand(account, now);
+    const auto average = m_ledger.averageDemand(account, now);
+    // A sudden rise counts at once; the chance of a few requests per second doesn't.
+    const auto expected = demand > average + chance(average) ? demand : average;
+    const auto factor = bucket->tokens(now) < OneToken ? EmptyFactor : DemandHeadroom;
+    const auto needed = expected * factor * static_cast<double>(OneToken);
     const auto later = bucket->limitsAt(now + LookAhead, now);
     const auto missing = needed - static_cast<double>(later.rate);
     const auto stock = static_cast<double>(std::min(bucket->tokens(now), later.capacity));
     return missing > 0 && stock < missing * StockSeconds ? static_cast<std::uint64_t>(missing) : 0;
 }
 
+bool TokenExchange::lowStock(const AccountName &account, TimePoint now)
+{
+    const auto demand = m_ledger.steadyDemand(account, now) * static_cast<double>(OneToken);
+    return static_cast<double>(m_ledger.bucket(account, now)->tokens(now))
+        < std::max(static_cast<double>(OneToken), demand * LowStockSeconds);
+}
+
 std::optional<NodeName> TokenExchange::homeOf(const AccountName &account) const
 {
     const auto rate = m_ledger.rate(account);
--- a/modules/quota/exchange/tokenexchange.h
+++ b/modules/quota/exchange/tokenexchange.h
@@ -99,6 +99,8 @@
         /** Rate of the loan that runs until @ref until. */
         std::uint64_t rate = 0;
         TimePoint until{};
+        /** Request of the last grant, which names the loan. */
+        std::uint64_t loan = 0;
         bool asked = false;
     };
     /** State of the exchange for one account. */
@@ -123,12 +125,14 @@
     bool hopeless(const AccountName &account, const Flow &flow, TimePoint now);
     void askPeers(const AccountName &account, Flow &flow, std::size_t count, TimePoint now);
     void askLender(const AccountName &account, Flow &flow, const NodeName &node, std::uint64_t tokens, std::uint64_t rate, TimePoint now);
+    void returnSurplus(const AccountName &account, Flow &flow, TimePoint now);
     void collect(const AccountName &account, Flow &flow, TimePoint now);
     void serveWaiters(const AccountName &account, Flow &flow, TimePoint now);
     void noteGrant(Flow &flow, const Pending &pending, const TokenGrant &grant, TimePoint now);
     void sendRequest(const NodeName &to, const AccountName &account, std::uint64_t tokens, std::uint64_t rate, TimePoint now);
     void sendGrant(const NodeName &to, TokenGrant grant);
     std::uint64_t missingRate(const AccountName &account, TimePoint now);
+    bool lowStock(const AccountName &account, TimePoint now);
     std::optional<NodeName> homeOf(const AccountName &account) const;
     void expirePending(TimePoint now);
 
