Mint only in data centres that the configuration names

Cause: nodes of a data centre that the configuration doesn't name yet took shares and minted, so that the sum exceeded the rate. Change: such a data centre takes nothing and gives up what it has. The test adds and removes a data centre in the worst order of nodes; with the check of the other rows turned off the bound was seen failing (kept as a test).

--- a/modules/quota/shares/shareplan.cpp
+++ b/modules/quota/shares/shareplan.cpp
@@ -65,11 +65,14 @@
 
 bool ShareTable::needsAllRows() const
 {
-    return !m_row || !m_row->active || m_row->split > configured();
+    return belongs() && (!m_row || !m_row->active || m_row->split > configured());
 }
 
 bool ShareTable::splitMayChange() const
 {
+    if (m_faults.splitIgnored) {
+        return true;
+    }
     for (const auto &[name, row] : m_otherRows) {
         const bool known = std::find(m_dataCentres.begin(), m_dataCentres.end(), name) != m_dataCentres.end();
         const bool owned = std::any_of(row.entries.begin(), row.entries.end(), [](const ShareEntry &it) {
@@ -87,6 +90,11 @@
     return static_cast<std::uint32_t>(m_dataCentres.size());
 }
 
+bool ShareTable::belongs() const
+{
+    return std::find(m_dataCentres.begin(), m_dataCentres.end(), m_settings.dataCentre) != m_dataCentres.end();
+}
+
 ShareTable::OpenWrite ShareTable::plan(TimePoint now)
 {
     OpenWrite write;
@@ -121,7 +129,7 @@
 void ShareTable::planTaken(OpenWrite &write, TimePoint now) const
 {
     auto missing = target() > held() ? target() - held() : 0;
-    for (std::size_t n = 0; n < m_holdings.size() && !m_draining; ++n) {
+    for (std::size_t n = 0; n < m_holdings.size() && !m_draining && belongs(); ++n) {
         bool wait = false;
         if (isMine(write.row.entries[n]) || !mayTake(n, now, wait)) {
             continue;
@@ -142,6 +150,9 @@
 {
     auto &row = write.row;
     row.split = std::max(row.split, configured());
+    if (!belongs()) {
+        return;
+    }
     if (m_otherRowsFresh && needsAllRows() && splitMayChange()) {
         row.split = configured();
         row.active = true;
@@ -188,7 +199,7 @@
         m_membersChangedAt = now;
         m_readNeeded = true;
     }
-    if (!m_draining && now - m_membersChangedAt < MembersSettleTime) {
+    if (!m_draining && belongs() && now - m_membersChangedAt < MembersSettleTime) {
         return;
     }
     const auto wanted = target();
--- a/modules/quota/shares/sharetable.cpp
+++ b/modules/quota/shares/sharetable.cpp
@@ -81,7 +81,7 @@
     }
     auto write = plan(now);
     const bool first = !m_row;
-    if (!first && write.row == *m_row) {
+    if ((first && !belongs()) || (!first && write.row == *m_row)) {
         return std::nullopt;
     }
     write.sentAt = now;
@@ -213,7 +213,7 @@
 
 std::size_t ShareTable::target() const
 {
-    if (m_draining || m_nodes.empty()) {
+    if (m_draining || m_nodes.empty() || !belongs()) {
         return 0;
     }
     const auto weight = [](const NodeName &it) {
--- a/modules/quota/shares/sharetable.h
+++ b/modules/quota/shares/sharetable.h
@@ -143,6 +143,8 @@
     void stop(std::size_t share, TimePoint now);
     void retryLater(TimePoint now, Duration longest);
     std::uint32_t configured() const;
+    /** Whether the configuration names this data centre; otherwise nothing is taken and all is given up. */
+    bool belongs() const;
 
     ShareSettings m_settings;
     Random &m_random;
