Let the platform stand-in own its threads

The threads of a static pool ended after OpenSSL had freed its state, so that LeakSanitizer reported 6328 bytes of OpenSSL's state per thread in the tests of the control module. Also two findings of the linter in headers and the admin client.

--- a/modules/control/adminclient.cpp
+++ b/modules/control/adminclient.cpp
@@ -16,7 +16,7 @@
 {
 
 constexpr long TimeoutSeconds = 2;
-constexpr std::size_t MaximumAnswerBytes = 1024 * 1024;
+constexpr std::size_t MaximumAnswerBytes = std::size_t{ 1024 } * 1024;
 constexpr const char *Step = "admin.call";
 
 std::unique_ptr<Poco::Net::HTTPClientSession> makeSession(const AdminCall &call, const Poco::URI &uri)
--- a/modules/platform/interfaces/tableservice.h
+++ b/modules/platform/interfaces/tableservice.h
@@ -18,6 +18,7 @@
     std::string partition;
     std::string sort;
 
+    // clang-tidy 14 takes the literal 0 of the rewritten comparison for a pointer. NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const RowKey &) const = default;
 };
 
--- a/testing/standins/platform/platformstandin.cpp
+++ b/testing/standins/platform/platformstandin.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/ThreadPool.h>
 
 namespace Pimentohollow
 {
@@ -15,26 +14,12 @@
 constexpr int MaximumThreads = 160;
 constexpr int ListenBacklog = 256;
 
-std::unique_ptr<Poco::Net::HTTPServer> startServer(std::uint16_t port, const Poco::Net::HTTPRequestHandlerFactory::Ptr &handlers)
-{
-    static Poco::ThreadPool pool(2, MaximumThreads);
-    Poco::Net::HTTPServerParams::Ptr params(Poco::makeAuto<Poco::Net::HTTPServerParams>());
-    params->setKeepAlive(true);
-    params->setMaxThreads(MaximumThreads);
-    params->setMaxQueued(ListenBacklog);
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true);
-    socket.listen(ListenBacklog);
-    auto server = std::make_unique<Poco::Net::HTTPServer>(handlers, pool, socket, params);
-    server->start();
-    return server;
-}
-
 } // namespace
 
 PlatformStandin::PlatformStandin(std::uint16_t port, std::uint16_t controlPort)
     : m_state(std::make_shared<StandinState>())
     , m_port(port)
+    , m_threads(2, MaximumThreads)
 {
     m_state->accessKeyId = AccessKeyId;
     m_state->secretAccessKey = SecretAccessKey;
@@ -83,6 +68,21 @@
     return m_state->control.counters();
 }
 
+std::unique_ptr<Poco::Net::HTTPServer> PlatformStandin::startServer(std::uint16_t port,
+                                                                    const Poco::Net::HTTPRequestHandlerFactory::Ptr &handlers)
+{
+    Poco::Net::HTTPServerParams::Ptr params(Poco::makeAuto<Poco::Net::HTTPServerParams>());
+    params->setKeepAlive(true);
+    params->setMaxThreads(MaximumThreads);
+    params->setMaxQueued(ListenBacklog);
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true);
+    socket.listen(ListenBacklog);
+    auto server = std::make_unique<Poco::Net::HTTPServer>(handlers, m_threads, socket, params);
+    server->start();
+    return server;
+}
+
 void PlatformStandin::listen()
 {
     const std::lock_guard lock(m_mutex);
--- a/testing/standins/platform/platformstandin.h
+++ b/testing/standins/platform/platformstandin.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <Poco/Net/HTTPServer.h>
+#include <Poco/ThreadPool.h>
 
 namespace Pimentohollow
 {
@@ -37,6 +38,7 @@
     StandinCounters counters() const;
 
 private:
+    std::unique_ptr<Poco::Net::HTTPServer> startServer(std::uint16_t port, const Poco::Net::HTTPRequestHandlerFactory::Ptr &handlers);
     void listen();
     void stopListening();
 
@@ -44,6 +46,8 @@
     std::uint16_t m_port = 0;
     std::uint16_t m_controlPort = 0;
     std::mutex m_mutex;
+    /** Owned, so that its threads end before OpenSSL frees the state of the process. */
+    Poco::ThreadPool m_threads;
     std::unique_ptr<Poco::Net::HTTPServer> m_service;
     std::unique_ptr<Poco::Net::HTTPServer> m_control;
 };
