--- a/modules/quota/tests/quotapropertytest.cpp
+++ b/modules/quota/tests/quotapropertytest.cpp
@@ -94,7 +94,8 @@
                 m_hot = m_random.below(m_fleet.nodes.size());
                 m_moveAt = m_fleet.clock.now() + std::chrono::milliseconds(500 + m_random.below(5'000));
             }
-            for (auto count = perStep + m_random.unit(); count >= 1; count -= 1) {
+            const auto requests = static_cast<int>(perStep + m_random.unit());
+            for (int request = 0; request < requests; ++request) {
                 const auto n = m_moving ? m_hot : m_random.below(m_fleet.nodes.size());
                 if (m_fleet.nodes[n].running && !m_fleet.nodes[n].paused) {
                     m_fleet.request(n, Florist);
