--- a/modules/node/pipeline/forwarder.cpp
+++ b/modules/node/pipeline/forwarder.cpp
@@ -93,6 +93,12 @@
 
 bool Forwarder::mayRetry(const RequestContext &context, const Refusal &refusal, const std::vector<NodeName> &tried, RetryBudget &budget)
 {
+    if (refusal.reason == RefusalReason::Draining && refusal.ran == RunState::NotRun) {
+        // Costs no upstream any work, and all requests of the moment need it at once, so the ratio doesn't apply.
+        const bool redirect = m_clock.now() < context.deadline && m_upstreams.hasOther(context, tried) && budget.tryConsume();
+        m_retries.add(redirect ? 1 : 0);
+        return redirect;
+    }
     const FailedAttempt failed{ refusal.reason, refusal.ran, m_upstreams.hasOther(context, tried), Duration::zero() };
     const std::lock_guard lock(m_mutex);
     const bool retry = std::holds_alternative<RetryElsewhere>(RetryPolicy::decide(context, failed, m_clock.now(), budget, m_ratio));
