--- a/modules/node/fleet/fleetnode.cpp
+++ b/modules/node/fleet/fleetnode.cpp
@@ -14,6 +14,9 @@
 
 const Logger Log("fleet");
 
+/** A node that finds no tokens for this long gets ready without them. */
+constexpr Duration LongestWaitForQuota = std::chrono::seconds(10);
+
 /** Longer than the loans of tokens run; a share that isn't released in time stays with this address until its lease ends. */
 constexpr Duration ShareReleaseTime = std::chrono::seconds(5);
 
@@ -113,6 +116,7 @@
 FleetNode::FleetNode(const NodeSettings &settings, std::uint64_t incarnation)
     : m_settings(settings)
     , m_options(nodeOptions(settings, incarnation))
+    , m_startedAt(m_clock.now())
     , m_keyTable(settings.secrets.keyPepper.reveal())
     , m_routes(m_clock)
     , m_keys(m_keyTable)
@@ -205,6 +209,7 @@
     m_upstreams.update(*snapshot);
     m_quotaTask.onGossipRound(*snapshot);
     reportUpstream();
+    updateReadiness();
 }
 
 void FleetNode::onConfiguration(const std::shared_ptr<const FleetView> &view)
@@ -217,10 +222,22 @@
         }
     });
     m_node.setTakesCalls(view->drain(m_options.node, m_options.incarnation) == nullptr);
-    m_node.setReady(true);
     Log.info("configuration_in_force", { { "version", std::to_string(view->version()) } });
 }
 
+void FleetNode::updateReadiness()
+{
+    if (m_everReady || !m_routes.view()) {
+        return;
+    }
+    // Without tokens every caller would get 429. A fleet whose platform is away has none either, and still serves open routes.
+    if (m_quotaTask.usable() || m_clock.now() - m_startedAt > LongestWaitForQuota) {
+        m_everReady = true;
+        m_node.setReady(true);
+        Log.info("ready");
+    }
+}
+
 void FleetNode::reportUpstream()
 {
     const auto announced = m_node.upstream().current();
--- a/modules/node/fleet/fleetnode.h
+++ b/modules/node/fleet/fleetnode.h
@@ -40,6 +40,8 @@
 private:
     void onConfiguration(const std::shared_ptr<const FleetView> &view);
     void reportUpstream();
+    /** Tells callers to come once there are a configuration and tokens. */
+    void updateReadiness();
     OwnerLiveness liveness(const ClaimOwner &owner) const;
     /** Takes a signed withdrawal from an operator. */
     HttpResponseMessage acceptWithdrawal(const HttpRequestMessage &request);
@@ -47,6 +49,9 @@
     NodeSettings m_settings;
     NodeOptions m_options;
     SystemClock m_clock;
+    TimePoint m_startedAt;
+    /** Only used on the gossip thread. */
+    bool m_everReady = false;
     KeyTable m_keyTable;
     FleetRoutes m_routes;
     FleetKeys m_keys;
--- a/modules/quota/exchange/tokenexchange.cpp
+++ b/modules/quota/exchange/tokenexchange.cpp
@@ -121,7 +121,7 @@
         const bool idle = m_ledger.demand(account, now) < LeastDemand;
         if (!idle && now >= flow.nextRound && (missingRate(account, now) > 0 || lowStock(account, now))) {
             flow.nextRound = now + RoundInterval;
-            askPeers(account, flow, PeersPerRound, now);
+            askPeers(account, flow, PeersPerRound, false, now);
         }
     }
 }
@@ -219,7 +219,7 @@
         }
     } else if (flow.outstanding == 0 || now >= flow.lastUrgent + UrgentInterval) {
         flow.lastUrgent = now;
-        askPeers(account, flow, PeersPerUrgentRound, now);
+        askPeers(account, flow, PeersPerUrgentRound, true, now);
     }
 }
 
@@ -233,11 +233,13 @@
     return static_cast<double>(bucket->tokens(now)) + minted < static_cast<double>(OneToken);
 }
 
-void TokenExchange::askPeers(const AccountName &account, Flow &flow, std::size_t count, TimePoint now)
+void TokenExchange::askPeers(const AccountName &account, Flow &flow, std::size_t count, bool urgent, TimePoint now)
 {
     auto rate = missingRate(account, now);
     const auto demand = m_ledger.demand(account, now) * static_cast<double>(OneToken);
-    const auto tokens = std::max(OneToken, static_cast<std::uint64_t>(demand * TokensSeconds));
+    // A new node has no demand to go by; one share of the burst keeps its first requests from asking one by one.
+    const auto leastTokens = std::max(OneToken, m_ledger.rate(account).value_or(AccountRate{}).burst / SharesPerDataCentre);
+    const auto tokens = std::max(leastTokens, static_cast<std::uint64_t>(demand * TokensSeconds));
     // Loans that end soon are extended before others are asked for more.
     for (const auto &[node, lender] : std::map(flow.lenders)) {
         const bool ending = lender.until > now && lender.until - now <= LookAhead;
@@ -251,7 +253,8 @@
         flow.cursor = flow.cursor < m_holders.size() ? flow.cursor : 0;
         const auto &node = m_holders[flow.cursor++].node;
         const auto &lender = flow.lenders[node];
-        if (now >= lender.nextAsk && !lender.asked) {
+        const bool due = now >= lender.nextAsk || (urgent && !lender.empty);
+        if (due && !lender.asked) {
             const auto running = lender.until > now ? lender.rate : 0;
             askLender(account, flow, node, tokens, rate > 0 ? rate + running : 0, now);
             --count;
@@ -333,6 +336,7 @@
     }
     auto &lender = flow.lenders[pending.to];
     lender.asked = false;
+    lender.empty = empty;
     if (grant.rate > 0) {
         const bool grown = !grant.extends || grant.rate > lender.rate;
         lender.rate = grant.rate;
--- a/modules/quota/exchange/tokenexchange.h
+++ b/modules/quota/exchange/tokenexchange.h
@@ -102,6 +102,8 @@
         /** Request of the last grant, which names the loan. */
         std::uint64_t loan = 0;
         bool asked = false;
+        /** Its last answer was empty, so it isn't asked before @ref nextAsk even if a request waits. */
+        bool empty = false;
     };
     /** State of the exchange for one account. */
     struct Flow {
@@ -123,7 +125,7 @@
     Admission refuse(const AccountName &account, TimePoint now);
     void seek(const AccountName &account, Flow &flow, const std::optional<NodeName> &home, TimePoint now);
     bool hopeless(const AccountName &account, const Flow &flow, TimePoint now);
-    void askPeers(const AccountName &account, Flow &flow, std::size_t count, TimePoint now);
+    void askPeers(const AccountName &account, Flow &flow, std::size_t count, bool urgent, TimePoint now);
     void askLender(const AccountName &account, Flow &flow, const NodeName &node, std::uint64_t tokens, std::uint64_t rate, TimePoint now);
     void returnSurplus(const AccountName &account, Flow &flow, TimePoint now);
     void collect(const AccountName &account, Flow &flow, TimePoint now);
--- a/modules/runtime/quota/quotatask.cpp
+++ b/modules/runtime/quota/quotatask.cpp
@@ -149,6 +149,9 @@
             m_endpoints[it.node] = { it.address.host, it.address.gossipPort };
         }
     }
+    m_holderKnown = std::any_of(peers.begin(), peers.end(), [](const QuotaPeer &it) {
+        return it.shares > 0;
+    });
     m_shares.setMembers(nodes);
     m_exchange.setPeers(std::move(peers), now);
     askForShares(snapshot, now);
@@ -219,6 +222,12 @@
     return false;
 }
 
+bool QuotaTask::usable()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_holderKnown || m_ledger.activeShares(m_parts.clock.now()) > 0;
+}
+
 std::size_t QuotaTask::activeShares()
 {
     const std::lock_guard lock(m_mutex);
--- a/modules/runtime/quota/quotatask.h
+++ b/modules/runtime/quota/quotatask.h
@@ -52,6 +52,9 @@
     /** Waits until the platform's row names this node no more, at most until @p deadline; false if it still does. */
     bool waitUntilDrained(TimePoint deadline);
 
+    /** Whether tokens can be had: own shares mint, or a member that holds shares is known. */
+    bool usable();
+
     /** Shares that mint now. */
     std::size_t activeShares();
     ExchangeCounters counters();
@@ -84,6 +87,7 @@
     std::uint64_t m_shareRequest = 0;
     NodeName m_shareRequestTo;
     TimePoint m_nextShareRequest{};
+    bool m_holderKnown = false;
     std::size_t m_publishedShares = 0;
     bool m_stopping = false;
     std::thread m_timer;
