--- a/modules/http/reading/bodyreader.cpp
+++ b/modules/http/reading/bodyreader.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr std::size_t MaximumChunkLineBytes = 256;
-constexpr std::size_t MaximumTrailerBytes = 8 * 1024;
+constexpr std::size_t MaximumTrailerBytes = std::size_t{ 8 } * 1024;
 /** 32 bits; more digits would only be leading zeros or a size beyond any bound. */
 constexpr std::size_t MaximumChunkDigits = 8;
 
--- a/modules/http/reading/bytestream.cpp
+++ b/modules/http/reading/bytestream.cpp
@@ -14,7 +14,7 @@
 {
 
 /** One TLS record, so that after a read no decrypted bytes stay behind in the TLS layer where poll() can't see them. */
-constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr std::size_t ReadBytes = std::size_t{ 16 } * 1024;
 
 /** Checks line ends incrementally and finds the empty line that ends a head. */
 class LineEndScanner
--- a/modules/http/reading/requestreader.h
+++ b/modules/http/reading/requestreader.h
@@ -10,8 +10,8 @@
 
 /** Bounds on what a caller may send, and on how slowly. */
 struct RequestLimits {
-    std::size_t maximumHeadBytes = 32 * 1024;
-    std::size_t maximumBodyBytes = 1024 * 1024;
+    std::size_t maximumHeadBytes = std::size_t{ 32 } * 1024;
+    std::size_t maximumBodyBytes = std::size_t{ 1024 } * 1024;
     /** Counted from the first byte of the request. */
     Duration headTime = std::chrono::seconds(5);
     /** Counted from the end of the head. */
--- a/modules/http/server/callerconnection.cpp
+++ b/modules/http/server/callerconnection.cpp
@@ -24,7 +24,7 @@
 void closeGently(Poco::Net::StreamSocket &socket)
 {
     constexpr auto LongestWait = std::chrono::seconds(1);
-    constexpr std::size_t MostBytes = 4 * 1024 * 1024;
+    constexpr std::size_t MostBytes = std::size_t{ 4 } * 1024 * 1024;
     constexpr std::size_t StepBytes = 4096;
     socket.shutdownSend();
     ByteStream rest(socket);
--- a/modules/http/upstream/upstreamclient.h
+++ b/modules/http/upstream/upstreamclient.h
@@ -16,8 +16,8 @@
 {
 
 struct UpstreamLimits {
-    std::size_t maximumHeadBytes = 64 * 1024;
-    std::size_t maximumBodyBytes = 1024 * 1024;
+    std::size_t maximumHeadBytes = std::size_t{ 64 } * 1024;
+    std::size_t maximumBodyBytes = std::size_t{ 1024 } * 1024;
     Duration connectTime = std::chrono::seconds(1);
     /** Idle connections older than this aren't used again; below the usual keep-alive time of servers. */
     Duration maximumIdleTime = std::chrono::seconds(4);
