Spread crash reports by gossip and answer GET /v1/status

Cause: each node counted crashes alone, so a poison request could crash two upstreams per node; pimentohollowctl status had no answer from the nodes; the configuration task had its own copy of the change that records a withdrawal. Change: FleetNode sends crash reports as fingerprint entries, one per node and fingerprint, and merges those of others; GET /v1/status; the configuration task uses makeWithdrawalChange(). Conclusion: two crashes anywhere in the data centre stop a request.

--- a/modules/node/fleet/fleetnode.cpp
+++ b/modules/node/fleet/fleetnode.cpp
@@ -4,7 +4,12 @@
 #include "http/rules/keyremoval.h"
 #include "http/rules/problemresponse.h"
 
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 #include <openssl/crypto.h>
+#include <Poco/JSON/Object.h>
+#include <sstream>
 
 namespace Pimentohollow
 {
@@ -74,6 +79,28 @@
     return result;
 }
 
+std::string encodeReport(const CrashReport &report)
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(report);
+    return stream.str();
+}
+
+/** Nothing if the text is malformed; its sender is authenticated, but may run another version. */
+std::optional<CrashReport> decodeReport(const std::string &text)
+{
+    try {
+        std::istringstream stream(text);
+        cereal::PortableBinaryInputArchive archive(stream);
+        CrashReport report;
+        archive(report);
+        return report;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
 bool sameSecret(const std::string &a, const std::string &b)
 {
     return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
@@ -164,6 +191,9 @@
     m_node.addAdminCall("POST", "/v1/withdrawals", [this](const HttpRequestMessage &request) {
         return acceptWithdrawal(request);
     });
+    m_node.addAdminCall("GET", "/v1/status", [this](const HttpRequestMessage &) {
+        return status();
+    });
     if (const auto port = m_gossip.open(m_settings.listeners.gossip.text()); !port) {
         return tl::unexpected(port.error());
     } else {
@@ -202,6 +232,9 @@
 {
     m_configuration.onGossipEvent(event);
     m_quotaTask.onGossipEvent(event);
+    if (const auto *fingerprint = std::get_if<FingerprintReceived>(&event)) {
+        mergeCrashReport(fingerprint->entry);
+    }
 }
 
 void FleetNode::onGossipRound(const std::shared_ptr<const FleetSnapshot> &snapshot)
@@ -209,6 +242,7 @@
     m_upstreams.update(*snapshot);
     m_quotaTask.onGossipRound(*snapshot);
     reportUpstream();
+    spreadCrashReports();
     updateReadiness();
 }
 
@@ -257,6 +291,42 @@
     });
 }
 
+void FleetNode::spreadCrashReports()
+{
+    for (const auto &it : m_node.poison().takeReports()) {
+        // One entry per node and fingerprint: entries of different nodes hold different crashes and mustn't replace each other.
+        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch());
+        FingerprintEntry entry{ it.fingerprint.hex() + "@" + m_settings.node.text(),
+                                static_cast<std::uint64_t>(now.count()),
+                                encodeReport(it) };
+        m_gossip.post([entry = std::move(entry)](Membership &membership) {
+            membership.addFingerprint(entry);
+        });
+    }
+}
+
+void FleetNode::mergeCrashReport(const FingerprintEntry &entry)
+{
+    if (const auto report = decodeReport(entry.content)) {
+        m_node.poison().merge(*report);
+    } else {
+        Log.warning("crash_report_malformed", { { "fingerprint", entry.fingerprint } });
+    }
+}
+
+HttpResponseMessage FleetNode::status() const
+{
+    Poco::JSON::Object object;
+    object.set("node", m_settings.node.text());
+    object.set("data_centre", m_settings.dataCentre.text());
+    object.set("version", m_tracker.version());
+    object.set("members", m_gossip.snapshot()->members.size());
+    object.set("draining", !m_node.takesCalls());
+    std::ostringstream body;
+    object.stringify(body);
+    return { 200, "OK", { { "Content-Type", "application/json" } }, body.str() };
+}
+
 OwnerLiveness FleetNode::liveness(const ClaimOwner &owner) const
 {
     const auto snapshot = m_gossip.snapshot();
--- a/modules/node/fleet/fleetnode.h
+++ b/modules/node/fleet/fleetnode.h
@@ -43,6 +43,11 @@
     /** Tells callers to come once there are a configuration and tokens. */
     void updateReadiness();
     OwnerLiveness liveness(const ClaimOwner &owner) const;
+    /** Tells the other nodes of this data centre which requests were in flight at a crash. */
+    void spreadCrashReports();
+    void mergeCrashReport(const FingerprintEntry &entry);
+    /** The answer to GET /v1/status. */
+    HttpResponseMessage status() const;
     /** Takes a signed withdrawal from an operator. */
     HttpResponseMessage acceptWithdrawal(const HttpRequestMessage &request);
 
--- a/modules/runtime/configuration/configurationtask.cpp
+++ b/modules/runtime/configuration/configurationtask.cpp
@@ -229,28 +229,19 @@
         return;
     }
     const SignedWithdrawal &next = unrecorded.front();
-    const auto key = view->fleet().keys.find(next.withdrawal.key);
-    if (key == view->fleet().keys.end()) {
+    const VersionedFleet base{ view->version(), view->fleet() };
+    const WallTime time{ std::chrono::seconds(next.withdrawal.time) };
+    const auto change = makeWithdrawalChange(base, next.withdrawal.key, next.withdrawal.author, next.withdrawal.reason, time);
+    if (!change) {
         return; // the key isn't in this version; it may be in the next
     }
-    KeyEntity entity = key->second;
-    entity.withdrawn = WallTime(std::chrono::seconds(next.withdrawal.time));
-    entity.withdrawalReason = next.withdrawal.reason;
-    FleetChange change;
-    change.version = view->version() + 1;
-    // The same id from every node that records it, so that a lost answer is recognised whoever wrote it.
-    change.changeId = "withdrawal-" + next.withdrawal.key.text();
-    change.author = next.withdrawal.author;
-    change.time = m_parts.clock.wallNow();
-    change.reason = next.withdrawal.reason;
-    change.upserts.emplace_back(entity);
-    const auto outcome = m_parts.store.apply({ view->version(), view->fleet() }, change);
+    const auto outcome = m_parts.store.apply(base, *change);
     if (!outcome) {
         Log.warning("withdrawal_not_recorded", { { "key", next.withdrawal.key.text() }, { "error", outcome.error().describe() } });
         return;
     }
     if (outcome->applied) {
-        finishUpdate(m_parts.tracker.apply({ change }), "withdrawal");
+        finishUpdate(m_parts.tracker.apply({ *change }), "withdrawal");
     }
 }
 
--- a/testing/process/tests/faulttest.cpp
+++ b/testing/process/tests/faulttest.cpp
@@ -235,3 +235,43 @@
         return connected.get("/echo", withKey()).status == 401;
     }));
 }
+
+// Guards against a request that crashes the upstreams of one node after the other because each counts crashes alone.
+TEST_F(FaultTest, PoisonRequestIsKnownToOtherNodes)
+{
+    // Gossip tells all nodes of a crash within this time; until then each counts its own crashes only.
+    constexpr auto SpreadTime = std::chrono::seconds(2);
+    const std::string poison = "a lookup with the poison-marker in it";
+    // Each upstream crashes once, so no node has seen two crashes itself.
+    for (TestSite *site : { &first, &second }) {
+        ASSERT_TRUE(eventually([&] {
+            entry.caller().post("/echo", poison, withKey());
+            return site->upstream->wait(std::chrono::milliseconds(0)).has_value();
+        }));
+    }
+    for (TestSite *site : { &first, &second }) {
+        site->upstream = TestFleet::startUpstream(*site->node, "echo");
+    }
+    std::this_thread::sleep_for(SpreadTime);
+    for (TestSite *site : { &first, &second, &entry }) {
+        EXPECT_EQ(site->caller().post("/echo", poison, withKey()).status, 422);
+    }
+    EXPECT_EQ(lookup(), 200);
+    EXPECT_FALSE(first.upstream->wait(std::chrono::milliseconds(0)));
+    EXPECT_FALSE(second.upstream->wait(std::chrono::milliseconds(0)));
+}
+
+// Guards against a status that hides which version a node has in force.
+TEST_F(FaultTest, StatusShowsTheVersion)
+{
+    const auto version = [this] {
+        return TestClient(second.node->port("admin")).get("/v1/status").body;
+    };
+    EXPECT_NE(version().find(R"("version":1)"), std::string::npos) << version();
+    fleet.change([](FleetConfiguration &target) {
+        target.accounts.at(AccountName("florists")).burst = 900;
+    });
+    EXPECT_TRUE(eventually([&] {
+        return version().find(R"("version":2)") != std::string::npos;
+    }));
+}
