Fix linter findings in the benchmarks

Cause: clang-tidy reported unused loop variables, growing vectors and an int multiplication. Change: KeepRunning(), reserve() and std::size_t.

--- a/bench/configuration/configurationbenchmark.cpp
+++ b/bench/configuration/configurationbenchmark.cpp
@@ -57,7 +57,7 @@
 {
     const auto fleet = makeLargeFleet();
     std::size_t bytes = 0;
-    for (auto it : state) {
+    while (state.KeepRunning()) {
         bytes = writeFleet(fleet.fleet).size();
     }
     state.counters["bytes"] = static_cast<double>(bytes);
@@ -67,7 +67,7 @@
 void parseDocument(benchmark::State &state)
 {
     const std::string text = writeFleet(makeLargeFleet().fleet);
-    for (auto it : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(parseFleet(text, "document", DocumentScope::Complete));
     }
 }
@@ -78,7 +78,7 @@
 {
     const auto fleet = makeLargeFleet();
     const std::string text = writeChange(makeSmallChange(fleet));
-    for (auto it : state) {
+    while (state.KeepRunning()) {
         state.PauseTiming();
         ConfigurationTracker tracker;
         tracker.adopt(fleet);
@@ -93,7 +93,7 @@
 {
     auto fleet = makeLargeFleet();
     const FleetView view(fleet.version, std::move(fleet.fleet));
-    for (auto it : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(view.route("GET", "/route-200-1/items/17"));
     }
 }
@@ -104,7 +104,7 @@
     const auto key = *ClientKey::generate();
     KeyTable table("pepper-0123456789");
     table.replaceKeys({ { KeyId("k"), AccountName("a"), keyDigest("pepper-0123456789", key.reveal()), false } });
-    for (auto it : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(table.check(key.reveal()));
     }
 }
--- a/bench/datapath/loadconnection.cpp
+++ b/bench/datapath/loadconnection.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::size_t MaximumBytes = 1024 * 1024;
+constexpr std::size_t MaximumBytes = std::size_t{ 1024 } * 1024;
 
 Poco::Net::StreamSocket connectTo(int port)
 {
--- a/bench/datapath/main.cpp
+++ b/bench/datapath/main.cpp
@@ -113,11 +113,13 @@
     std::atomic<std::uint64_t> requests{ 0 };
     std::atomic<std::uint64_t> failed{ 0 };
     std::vector<double> before;
+    before.reserve(nodes.size());
     for (const auto *it : nodes) {
         before.push_back(cpuSeconds(it->pid()));
     }
     const TimePoint end = std::chrono::steady_clock::now() + std::chrono::seconds(options.seconds);
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(options.workers));
     for (int n = 0; n < options.workers; ++n) {
         threads.emplace_back([&] {
             LoadConnection connection(port, "/echo", KeyHeader);
