--- a/modules/node/fleet/fleetnode.cpp
+++ b/modules/node/fleet/fleetnode.cpp
@@ -188,6 +188,10 @@
 
 Result<void> FleetNode::start()
 {
+    if (m_settings.tls.peers) {
+        return failure(
+            ErrorKind::InvalidInput, "settings.check", "tls.peers is not supported yet; links between nodes are authenticated only");
+    }
     m_node.addAdminCall("POST", "/v1/withdrawals", [this](const HttpRequestMessage &request) {
         return acceptWithdrawal(request);
     });
@@ -243,6 +247,7 @@
     m_quotaTask.onGossipRound(*snapshot);
     reportUpstream();
     spreadCrashReports();
+    checkCutOff();
     updateReadiness();
 }
 
@@ -291,6 +296,13 @@
     });
 }
 
+void FleetNode::checkCutOff()
+{
+    const auto view = m_routes.view();
+    const auto bound = view ? view->serveWhenCutOff(m_settings.dataCentre, m_clock.wallNow()) : std::nullopt;
+    m_routes.setCutOff(bound && m_configuration.cutOffFor() > *bound);
+}
+
 void FleetNode::spreadCrashReports()
 {
     for (const auto &it : m_node.poison().takeReports()) {
--- a/modules/node/fleet/fleetnode.h
+++ b/modules/node/fleet/fleetnode.h
@@ -43,6 +43,8 @@
     /** Tells callers to come once there are a configuration and tokens. */
     void updateReadiness();
     OwnerLiveness liveness(const ClaimOwner &owner) const;
+    /** Stops new requests while this node is cut off for longer than the configuration allows. */
+    void checkCutOff();
     /** Tells the other nodes of this data centre which requests were in flight at a crash. */
     void spreadCrashReports();
     void mergeCrashReport(const FingerprintEntry &entry);
--- a/modules/node/fleet/fleetsources.cpp
+++ b/modules/node/fleet/fleetsources.cpp
@@ -20,9 +20,14 @@
     return m_view;
 }
 
+void FleetRoutes::setCutOff(bool cutOff)
+{
+    m_cutOff = cutOff;
+}
+
 bool FleetRoutes::ready() const
 {
-    return view() != nullptr;
+    return !m_cutOff && view() != nullptr;
 }
 
 std::optional<RouteMatch> FleetRoutes::match(std::string_view method, std::string_view path) const
--- a/modules/node/fleet/fleetsources.h
+++ b/modules/node/fleet/fleetsources.h
@@ -9,6 +9,7 @@
 #include "runtime/claims/claimtask.h"
 #include "runtime/quota/quotatask.h"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 
@@ -27,6 +28,9 @@
     /** Null before the first version. */
     std::shared_ptr<const FleetView> view() const;
 
+    /** Whether this node has been cut off from everything for longer than an exception allows. */
+    void setCutOff(bool cutOff);
+
     bool ready() const override;
     std::optional<RouteMatch> match(std::string_view method, std::string_view path) const override;
     RouteLimits limits(const RouteName &route, const AccountName &account) const override;
@@ -35,6 +39,7 @@
     const Clock &m_clock;
     mutable std::mutex m_mutex;
     std::shared_ptr<const FleetView> m_view;
+    std::atomic<bool> m_cutOff{ false };
 };
 
 /** Keys of the configuration and the withdrawals. */
--- a/modules/node/pipeline/entrypipeline.cpp
+++ b/modules/node/pipeline/entrypipeline.cpp
@@ -113,7 +113,8 @@
 tl::expected<PreparedRequest, Refusal> EntryPipeline::prepare(HttpRequestMessage request) const
 {
     if (!m_routes.ready()) {
-        return tl::unexpected(notRun(RefusalReason::NotReady, "the node has no configuration yet"));
+        return tl::unexpected(
+            notRun(RefusalReason::NotReady, "the node has no configuration, or has been cut off for longer than allowed"));
     }
     if (!isPlainPath(pathOf(request.target))) {
         return tl::unexpected(notRun(RefusalReason::BadRequest, "dot segments in the path are not accepted"));
--- a/testing/process/tests/fleettest.cpp
+++ b/testing/process/tests/fleettest.cpp
@@ -85,3 +85,30 @@
         return caller.get("/echo", withKey()).status == 401;
     }));
 }
+
+// Guards against a data centre that serves without limit although an exception bounds it, and against one that stays closed.
+TEST_F(FleetTest, StopsServingWhenCutOffForTooLong)
+{
+    fleet.change([](FleetConfiguration &target) {
+        ExceptionEntity exception;
+        exception.name = ExceptionName("cut-off");
+        exception.reason = "stale keys must not be accepted for long";
+        exception.serveWhenCutOff = std::chrono::seconds(2);
+        target.upsert(exception);
+    });
+    // The exception must be in force before the node is cut off, or it can't know of it.
+    ASSERT_TRUE(eventually([this] {
+        return TestClient(entry.node->port("admin")).get("/v1/status").body.find(R"("version":2)") != std::string::npos;
+    }));
+    const auto status = [this] {
+        return entry.caller().get("/echo", withKey()).status;
+    };
+    setOutage(StandinOutage::Close);
+    EXPECT_TRUE(eventually([&] {
+        return status() == 503;
+    }));
+    setOutage(StandinOutage::None);
+    EXPECT_TRUE(eventually([&] {
+        return status() == 200;
+    }));
+}
