Bound the questions that a waiting request causes

Cause: a waiting request asked again after every answer, so QuotaFaultTest RepeatedGrants ran for more than 200 s, and each round trip of a busy account would have cost messages. clang-tidy also reported a copied socket parameter. Change: lenders are asked out of turn once per 10 ms at most; the listener takes its socket by reference.

--- a/modules/http/server/callerserver.cpp
+++ b/modules/http/server/callerserver.cpp
@@ -69,13 +69,13 @@
     }
 }
 
-CallerServer::CallerServer(Poco::Net::ServerSocket socket,
+CallerServer::CallerServer(const Poco::Net::ServerSocket &socket,
                            const ListenerOptions &options,
                            RequestHandler &handler,
                            DisconnectWatcher &watcher)
     : m_options(options)
     , m_threads("caller", 2, options.maximumConnections, IdleThreadSeconds, StackBytes)
-    , m_socket(std::move(socket))
+    , m_socket(socket)
 {
     const ConnectionEnvironment environment{ m_options, m_registry, handler, watcher };
     const Poco::Net::TCPServerConnectionFactory::Ptr factory = Poco::makeShared<ConnectionFactory>(environment);
--- a/modules/http/server/callerserver.h
+++ b/modules/http/server/callerserver.h
@@ -61,7 +61,10 @@
     bool finishDrain(TimePoint deadline);
 
 private:
-    CallerServer(Poco::Net::ServerSocket socket, const ListenerOptions &options, RequestHandler &handler, DisconnectWatcher &watcher);
+    CallerServer(const Poco::Net::ServerSocket &socket,
+                 const ListenerOptions &options,
+                 RequestHandler &handler,
+                 DisconnectWatcher &watcher);
 
     ListenerOptions m_options;
     ConnectionRegistry m_registry;
--- a/modules/quota/exchange/tokenexchange.cpp
+++ b/modules/quota/exchange/tokenexchange.cpp
@@ -217,9 +217,11 @@
         if (now >= flow.emptyUntil && flow.outstanding < MaximumOutstanding) {
             sendRequest(*home, account, OneToken, 0, now);
         }
-    } else if (flow.outstanding == 0 || now >= flow.lastUrgent + UrgentInterval) {
+    } else if (now >= flow.lastUrgent + UrgentInterval) {
         flow.lastUrgent = now;
         askPeers(account, flow, PeersPerUrgentRound, true, now);
+    } else if (flow.outstanding == 0) {
+        askPeers(account, flow, PeersPerUrgentRound, false, now);
     }
 }
 
