--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -14,7 +14,7 @@
 const Logger Log("node");
 
 /** Room for the headers and the frame around a body of the accepted size. */
-constexpr std::size_t FrameOverheadBytes = 256 * 1024;
+constexpr std::size_t FrameOverheadBytes = std::size_t{ 256 } * 1024;
 
 UpstreamLimits upstreamLimits(const NodeOptions &options)
 {
@@ -189,7 +189,7 @@
 }
 
 Result<void>
-Node::startListener(std::unique_ptr<CallerServer> &server, std::string_view name, ListenerOptions options, RequestHandler &handler)
+Node::startListener(std::unique_ptr<CallerServer> &server, std::string_view name, const ListenerOptions &options, RequestHandler &handler)
 {
     auto started = CallerServer::start(options, handler, m_watcher);
     if (!started) {
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -55,7 +55,7 @@
 private:
     Result<void> startPeerServer();
     Result<void>
-    startListener(std::unique_ptr<CallerServer> &server, std::string_view name, ListenerOptions options, RequestHandler &handler);
+    startListener(std::unique_ptr<CallerServer> &server, std::string_view name, const ListenerOptions &options, RequestHandler &handler);
     ListenerOptions listenerOptions(const std::string &address, const std::optional<TlsFiles> &tls) const;
     void addGauges();
 
--- a/modules/peer/channel/tcpframechannel.cpp
+++ b/modules/peer/channel/tcpframechannel.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::size_t ReadBytes = 32 * 1024;
+constexpr std::size_t ReadBytes = std::size_t{ 32 } * 1024;
 
 bool waitForBytes(int fd, TimePoint deadline)
 {
--- a/testing/process/support/childprocess.cpp
+++ b/testing/process/support/childprocess.cpp
@@ -8,8 +8,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char **environ;
-
 namespace Pimentohollow::Testing
 {
 
@@ -21,6 +19,7 @@
     std::vector<std::string> owned{ path };
     owned.insert(owned.end(), arguments.begin(), arguments.end());
     std::vector<char *> argv;
+    argv.reserve(owned.size() + 1);
     for (auto &it : owned) {
         argv.push_back(it.data());
     }
--- a/testing/standins/upstream/announcer.cpp
+++ b/testing/standins/upstream/announcer.cpp
@@ -10,9 +10,9 @@
 namespace Pimentohollow::Testing
 {
 
-Announcer::Announcer(const StandinState &state, Poco::Net::SocketAddress node, std::string service, std::string address)
+Announcer::Announcer(const StandinState &state, const Poco::Net::SocketAddress &node, std::string service, std::string address)
     : m_state(state)
-    , m_node(std::move(node))
+    , m_node(node)
     , m_service(std::move(service))
     , m_address(std::move(address))
     , m_thread([this] {
--- a/testing/standins/upstream/announcer.h
+++ b/testing/standins/upstream/announcer.h
@@ -15,7 +15,7 @@
 class Announcer
 {
 public:
-    Announcer(const StandinState &state, Poco::Net::SocketAddress node, std::string service, std::string address);
+    Announcer(const StandinState &state, const Poco::Net::SocketAddress &node, std::string service, std::string address);
     ~Announcer();
     Announcer(const Announcer &) = delete;
     Announcer &operator=(const Announcer &) = delete;
