--- a/modules/claims/claim.h
+++ b/modules/claims/claim.h
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "core/enumtable.h"
 #include "core/names.h"
-#include "platform/interfaces/tableservice.h"
+#include "storage/interfaces/tableservice.h"
 
 #include <cstdint>
 #include <optional>
--- a/modules/claims/execution/claimexecutor.h
+++ b/modules/claims/execution/claimexecutor.h
@@ -2,8 +2,8 @@
 
 #include "claims/batching/claimbatcher.h"
 #include "claims/registry/claimregistry.h"
-#include "platform/interfaces/objectstore.h"
-#include "platform/interfaces/tableservice.h"
+#include "storage/interfaces/objectstore.h"
+#include "storage/interfaces/tableservice.h"
 
 namespace Pimentohollow
 {
--- a/modules/claims/expiry/claimsweeper.h
+++ b/modules/claims/expiry/claimsweeper.h
@@ -3,8 +3,8 @@
 #include "claims/claim.h"
 #include "core/clock.h"
 #include "core/random.h"
-#include "platform/interfaces/objectstore.h"
-#include "platform/interfaces/tableservice.h"
+#include "storage/interfaces/objectstore.h"
+#include "storage/interfaces/tableservice.h"
 
 namespace Pimentohollow
 {
--- a/modules/claims/tests/faketable.h
+++ b/modules/claims/tests/faketable.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/manualclock.h"
-#include "platform/interfaces/objectstore.h"
-#include "platform/interfaces/tableservice.h"
+#include "storage/interfaces/objectstore.h"
+#include "storage/interfaces/tableservice.h"
 
 #include <deque>
 #include <set>
--- a/modules/configuration/changes/configurationstore.cpp
+++ b/modules/configuration/changes/configurationstore.cpp
@@ -1,6 +1,6 @@
 #include "configuration/changes/configurationstore.h"
 
-#include "configuration/parsing/scalars.h"
+#include "parsing/scalars.h"
 
 #include <fmt/format.h>
 
--- a/modules/configuration/changes/configurationstore.h
+++ b/modules/configuration/changes/configurationstore.h
@@ -3,8 +3,8 @@
 #include "audit/auditchain.h"
 #include "configuration/changes/fleetchange.h"
 #include "core/clock.h"
-#include "platform/interfaces/objectstore.h"
-#include "platform/interfaces/tableservice.h"
+#include "storage/interfaces/objectstore.h"
+#include "storage/interfaces/tableservice.h"
 
 #include <optional>
 
--- a/modules/configuration/fleet/entitycodec.h
+++ b/modules/configuration/fleet/entitycodec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "configuration/fleet/entities.h"
-#include "configuration/parsing/fieldreader.h"
-#include "configuration/parsing/fieldwriter.h"
+#include "parsing/fieldreader.h"
+#include "parsing/fieldwriter.h"
 
 namespace Pimentohollow
 {
--- a/modules/configuration/fleet/entityfields.h
+++ b/modules/configuration/fleet/entityfields.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "configuration/fleet/entities.h"
-#include "configuration/parsing/scalars.h"
+#include "parsing/scalars.h"
 
 namespace Pimentohollow
 {
--- a/modules/configuration/fleet/fleetconfiguration.cpp
+++ b/modules/configuration/fleet/fleetconfiguration.cpp
@@ -2,9 +2,9 @@
 
 #include "configuration/fleet/entitycodec.h"
 #include "configuration/fleet/entityfields.h"
-#include "configuration/parsing/fieldreader.h"
-#include "configuration/parsing/fieldwriter.h"
-#include "configuration/parsing/textfile.h"
+#include "parsing/fieldreader.h"
+#include "parsing/fieldwriter.h"
+#include "parsing/textfile.h"
 
 namespace Pimentohollow
 {
--- a/modules/configuration/fleet/fleetconfiguration.h
+++ b/modules/configuration/fleet/fleetconfiguration.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "configuration/fleet/entities.h"
-#include "configuration/parsing/finding.h"
+#include "parsing/finding.h"
 
 #include <map>
 #include <string>
--- a/modules/configuration/settings/nodesettings.cpp
+++ b/modules/configuration/settings/nodesettings.cpp
@@ -1,7 +1,7 @@
 #include "configuration/settings/nodesettings.h"
 
-#include "configuration/parsing/fieldreader.h"
-#include "configuration/parsing/textfile.h"
+#include "parsing/fieldreader.h"
+#include "parsing/textfile.h"
 
 #include <cstdlib>
 #include <fmt/format.h>
--- a/modules/configuration/settings/nodesettings.h
+++ b/modules/configuration/settings/nodesettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "configuration/parsing/finding.h"
-#include "configuration/settings/ipendpoint.h"
+#include "parsing/finding.h"
+#include "parsing/endpointscalar.h"
 #include "configuration/settings/secret.h"
 #include "core/clock.h"
 #include "core/logger.h"
--- a/modules/configuration/tests/configurationstoretest.cpp
+++ b/modules/configuration/tests/configurationstoretest.cpp
@@ -1,5 +1,5 @@
 #include "fleetsamples.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
--- a/modules/control/commandresult.cpp
+++ b/modules/control/commandresult.cpp
@@ -1,6 +1,6 @@
 #include "control/commandresult.h"
 
-#include "configuration/parsing/scalars.h"
+#include "parsing/scalars.h"
 
 #include <fmt/format.h>
 
--- a/modules/control/controlsession.cpp
+++ b/modules/control/controlsession.cpp
@@ -1,6 +1,6 @@
 #include "control/controlsession.h"
 
-#include "configuration/parsing/scalars.h"
+#include "parsing/scalars.h"
 
 #include <fmt/format.h>
 #include <Poco/UUIDGenerator.h>
--- a/modules/control/controlsession.h
+++ b/modules/control/controlsession.h
@@ -3,7 +3,7 @@
 #include "control/adminclient.h"
 #include "control/command.h"
 #include "core/clock.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include <functional>
 #include <memory>
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "core/enumtable.h"
 #include "core/error.h"
+#include "core/ipendpoint.h"
 #include "core/logger.h"
 #include "core/mailbox.h"
 #include "core/manualclock.h"
--- a/modules/configuration/settings/ipendpoint.cpp
+++ b/modules/core/ipendpoint.cpp
@@ -1,4 +1,4 @@
-#include "configuration/settings/ipendpoint.h"
+#include "core/ipendpoint.h"
 
 #include <arpa/inet.h>
 #include <charconv>
@@ -53,14 +53,4 @@
     return isAddress(AF_INET6, result.address) ? std::optional(result) : std::nullopt;
 }
 
-std::string parseScalar(const std::string &text, const Range &, IpEndpoint &value)
-{
-    const auto parsed = parseIpEndpoint(text);
-    if (!parsed) {
-        return "must be a numeric IP address and a port, such as 10.0.0.5:8080 or [fd00::5]:8080";
-    }
-    value = *parsed;
-    return {};
-}
-
 } // namespace Pimentohollow
--- a/modules/configuration/settings/ipendpoint.h
+++ b/modules/core/ipendpoint.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "configuration/parsing/scalars.h"
-
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -26,10 +25,15 @@
     {
         return std::tie(address, port) < std::tie(other.address, other.port);
     }
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(address, port);
+    }
 };
 
+/** Nothing if the text isn't a numeric address with a port above 0. */
 std::optional<IpEndpoint> parseIpEndpoint(std::string_view text);
 
-std::string parseScalar(const std::string &text, const Range &range, IpEndpoint &value);
-
 } // namespace Pimentohollow
--- a/modules/core/logger.cpp
+++ b/modules/core/logger.cpp
@@ -2,8 +2,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <fcntl.h>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
 namespace Pimentohollow
 {
@@ -12,6 +14,26 @@
 {
 
 std::atomic<LogLevel> lowestLevel{ LogLevel::Info };
+std::atomic<int> outputFd{ -1 };
+std::atomic<unsigned> linesPerSecond{ 0 };
+std::atomic<std::uint64_t> dropped{ 0 };
+
+/** Lines left in the present second, for one class of levels. */
+struct LineBudget {
+    std::atomic<std::int64_t> second{ 0 };
+    std::atomic<unsigned> used{ 0 };
+
+    bool take(std::int64_t now)
+    {
+        if (second.exchange(now) != now) {
+            used = 0;
+        }
+        return used.fetch_add(1) < linesPerSecond.load();
+    }
+};
+
+LineBudget ordinaryLines;
+LineBudget urgentLines;
 
 bool needsQuotes(std::string_view value)
 {
@@ -80,6 +102,18 @@
     lowestLevel = level;
 }
 
+void Logger::writeTo(int fd, unsigned maximumLinesPerSecond)
+{
+    ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK);
+    linesPerSecond = maximumLinesPerSecond;
+    outputFd = fd;
+}
+
+std::uint64_t Logger::droppedLines()
+{
+    return dropped;
+}
+
 std::string Logger::format(LogLevel level, std::string_view component, std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = fmt::format("level={} component={} event=", LogLevelNames.name(level), component);
@@ -98,12 +132,24 @@
     if (level < lowestLevel.load()) {
         return;
     }
+    const int fd = outputFd.load();
+    if (fd >= 0) {
+        const auto second = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+        if (!(level < LogLevel::Warning ? ordinaryLines : urgentLines).take(second)) {
+            ++dropped;
+            return;
+        }
+    }
     const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     const auto millis = now.time_since_epoch().count() % 1000;
     const auto seconds = std::chrono::system_clock::to_time_t(now);
     const std::string line =
         fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n", fmt::gmtime(seconds), millis, format(level, m_component, event, fields));
-    fmt::print(stderr, "{}", line);
+    if (fd < 0) {
+        fmt::print(stderr, "{}", line);
+    } else if (::write(fd, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+        ++dropped;
+    }
 }
 
 } // namespace Pimentohollow
--- a/modules/core/logger.h
+++ b/modules/core/logger.h
@@ -2,6 +2,7 @@
 
 #include "core/enumtable.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -30,7 +31,7 @@
 };
 
 /**
- * Writes structured log lines ("time=... level=... component=... event=... key=value") to standard error.
+ * Writes structured log lines ("time=... level=... component=... event=... key=value") to standard error, or where writeTo() says.
  * Each line is one write; values with spaces, quotes or control characters are quoted and escaped. Thread-safe.
  */
 class Logger
@@ -47,6 +48,14 @@
     /** Sets the lowest level that is written, for the whole process. */
     static void setLevel(LogLevel level);
 
+    /**
+     * Writes to @p fd from now on, without ever blocking: a line that @p fd doesn't take is dropped, and so are lines beyond
+     * @p linesPerSecond. Warnings and errors have a budget of their own of the same size.
+     */
+    static void writeTo(int fd, unsigned linesPerSecond);
+    /** Lines dropped since the start. */
+    static std::uint64_t droppedLines();
+
     /** The text of a line without its time, separate so that tests can check the escaping. */
     static std::string format(LogLevel level, std::string_view component, std::string_view event, std::initializer_list<LogField> fields);
 
--- a/modules/http/reading/bytestream.cpp
+++ b/modules/http/reading/bytestream.cpp
@@ -74,8 +74,54 @@
     return ::poll(&entry, 1, 0) != 0;
 }
 
+namespace
+{
+
+/** Blocks the thread; deadlines are times of the steady clock. */
+class SocketSource : public ByteSource
+{
+public:
+    explicit SocketSource(const Poco::Net::StreamSocket &socket)
+        : m_socket(socket)
+    {
+    }
+
+    ReadResult<std::size_t> read(std::span<char> buffer, TimePoint deadline) override
+    {
+        if (!waitReadable(m_socket.impl()->sockfd(), deadline)) {
+            return tl::unexpected(ReadFault::Timeout);
+        }
+        try {
+            const int count = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            if (count <= 0) {
+                return tl::unexpected(ReadFault::Truncated);
+            }
+            return static_cast<std::size_t>(count);
+        } catch (const Poco::TimeoutException &) {
+            return tl::unexpected(ReadFault::Timeout);
+        } catch (const Poco::Exception &) {
+            return tl::unexpected(ReadFault::Truncated);
+        }
+    }
+
+    TimePoint now() const override
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+private:
+    Poco::Net::StreamSocket m_socket;
+};
+
+} // namespace
+
 ByteStream::ByteStream(const Poco::Net::StreamSocket &socket)
-    : m_socket(socket)
+    : m_source(std::make_unique<SocketSource>(socket))
+{
+}
+
+ByteStream::ByteStream(std::unique_ptr<ByteSource> source)
+    : m_source(std::move(source))
 {
 }
 
@@ -151,6 +197,11 @@
     return {};
 }
 
+void ByteStream::takeAvailable(std::string &out)
+{
+    out += takeBuffered(m_buffer.size() - m_position);
+}
+
 bool ByteStream::hasBufferedData() const
 {
     return m_position < m_buffer.size();
@@ -163,21 +214,12 @@
         m_position = 0;
     }
     std::array<char, ReadBytes> bytes; // not initialised: it is written by the read below
-    if (!waitReadable(m_socket.impl()->sockfd(), deadline)) {
-        return tl::unexpected(ReadFault::Timeout);
-    }
-    try {
-        const int count = m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-        if (count <= 0) {
-            return tl::unexpected(ReadFault::Truncated);
-        }
-        m_buffer.append(bytes.data(), static_cast<std::size_t>(count));
-        return {};
-    } catch (const Poco::TimeoutException &) {
-        return tl::unexpected(ReadFault::Timeout);
-    } catch (const Poco::Exception &) {
-        return tl::unexpected(ReadFault::Truncated);
+    const auto count = m_source->read(bytes, deadline);
+    if (!count) {
+        return tl::unexpected(count.error());
     }
+    m_buffer.append(bytes.data(), *count);
+    return {};
 }
 
 std::string ByteStream::takeBuffered(std::size_t count)
--- a/modules/http/reading/bytestream.h
+++ b/modules/http/reading/bytestream.h
@@ -4,7 +4,9 @@
 #include "core/enumtable.h"
 
 #include <cstddef>
+#include <memory>
 #include <Poco/Net/StreamSocket.h>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -38,11 +40,30 @@
 /** True if @p fd has bytes to read or was closed by the other side. */
 bool readableNow(int fd);
 
-/** Buffered reader of HTTP messages from a plain or TLS socket. Every wait ends at the given deadline. */
+/** Where a ByteStream gets its bytes from. */
+class ByteSource
+{
+public:
+    virtual ~ByteSource() = default;
+
+    /** Reads at least one byte. Errors: Truncated (closed or failed), Timeout. */
+    virtual ReadResult<std::size_t> read(std::span<char> buffer, TimePoint deadline) = 0;
+    /** The clock of the deadlines. */
+    virtual TimePoint now() const = 0;
+};
+
+/** Buffered reader of HTTP messages. Every wait ends at the given deadline. */
 class ByteStream
 {
 public:
+    /** Reads from a plain or TLS socket and blocks the thread. */
     explicit ByteStream(const Poco::Net::StreamSocket &socket);
+    explicit ByteStream(std::unique_ptr<ByteSource> source);
+
+    TimePoint now() const
+    {
+        return m_source->now();
+    }
 
     /** Waits for the first byte of a message. */
     ReadResult<void> waitForData(TimePoint deadline);
@@ -59,6 +80,8 @@
     /** Appends exactly @p count bytes to @p out; memory grows with the bytes received, not with the announced count. */
     ReadResult<void> readExactly(std::string &out, std::size_t count, TimePoint deadline);
 
+    /** Appends the bytes that were received but not taken yet to @p out. */
+    void takeAvailable(std::string &out);
     /** True if bytes were received that no read has taken yet. */
     bool hasBufferedData() const;
 
@@ -66,7 +89,7 @@
     ReadResult<void> fill(TimePoint deadline);
     std::string takeBuffered(std::size_t count);
 
-    Poco::Net::StreamSocket m_socket;
+    std::unique_ptr<ByteSource> m_source;
     std::string m_buffer;
     std::size_t m_position = 0;
 };
--- a/modules/http/reading/requestreader.cpp
+++ b/modules/http/reading/requestreader.cpp
@@ -64,7 +64,7 @@
 
 tl::expected<RequestHead, RequestFault> RequestReader::readHead()
 {
-    const auto text = m_stream.readHead(m_limits.maximumHeadBytes, std::chrono::steady_clock::now() + m_limits.headTime);
+    const auto text = m_stream.readHead(m_limits.maximumHeadBytes, m_stream.now() + m_limits.headTime);
     if (!text) {
         return tl::unexpected(faultOf(text.error(), "request head", HeadersTooLarge));
     }
@@ -92,7 +92,7 @@
             m_sendContinue();
         }
     }
-    auto body = readBody(m_stream, *framing, m_limits.maximumBodyBytes, std::chrono::steady_clock::now() + m_limits.bodyTime);
+    auto body = readBody(m_stream, *framing, m_limits.maximumBodyBytes, m_stream.now() + m_limits.bodyTime);
     if (!body) {
         return tl::unexpected(faultOf(body.error(), "request body", ContentTooLarge));
     }
--- /dev/null
+++ b/modules/mesh/callers/callersession.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "async/net/httpconnection.h"
+#include "http/reading/requestreader.h"
+#include "mesh/callers/pendingrequest.h"
+#include "mesh/model/trafficrules.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace Pimentohollow
+{
+
+/**
+ * One connection of a caller. Reads ahead, so that requests sent one behind the other are served at the same time, and answers in the order
+ * in which they came. A caller that closes the connection cancels what it asked for.
+ */
+class CallerSession : public std::enable_shared_from_this<CallerSession>
+{
+public:
+    struct Environment {
+        EventLoop &loop;
+        /** Answers a request; runs in a fiber of its own. */
+        std::function<HttpResponseMessage(HttpRequestMessage &&, PendingRequest &)> serve;
+        /** Bounds in force now. */
+        std::function<CallerBounds()> bounds;
+        /** The node ends: answers close their connections. */
+        std::function<bool()> closing;
+    };
+
+    CallerSession(std::unique_ptr<AsyncSocket> socket, const Environment &environment);
+
+    void start();
+
+private:
+    struct Exchange {
+        PendingRequest pending;
+        bool answered = false;
+        bool closes = false;
+        std::string bytes;
+
+        explicit Exchange(EventLoop &loop)
+            : pending(loop)
+        {
+        }
+    };
+
+    void read();
+    bool readRequest();
+    void serve(const std::shared_ptr<Exchange> &exchange, HttpRequestMessage &&request, bool keepAlive);
+    void fail(const RequestFault &fault);
+    void complete(Exchange &exchange, const HttpResponseMessage &response, bool keepAlive, bool headRequest);
+    void writeAnswers();
+    void cancelAll();
+
+    const Environment &m_environment;
+    HttpConnection m_connection;
+    std::deque<std::shared_ptr<Exchange>> m_exchanges;
+    /** Where the reader waits until it may read on. */
+    WaitPoint m_roomForMore;
+    bool m_writing = false;
+    /** Nothing more is read: the caller has left, or got the last answer. */
+    bool m_ended = false;
+    /** The last answer was sent. */
+    bool m_finished = false;
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/callers/entrypath.cpp
@@ -0,0 +1,365 @@
+#include "mesh/callers/entrypath.h"
+
+#include "core/logger.h"
+#include "http/rules/hopbyhop.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <utility>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+constexpr std::uint16_t BadRequest = 400;
+constexpr std::uint16_t Unauthorized = 401;
+constexpr std::uint16_t NotFound = 404;
+constexpr std::uint16_t TooManyRequests = 429;
+constexpr std::uint16_t BadGateway = 502;
+constexpr std::uint16_t ServiceUnavailable = 503;
+constexpr std::uint16_t GatewayTimeout = 504;
+constexpr std::uint16_t FirstServerError = 500;
+
+/** Deadline of a request that names none and whose route has no timeout. */
+constexpr std::chrono::seconds DefaultDeadline(30);
+constexpr std::chrono::milliseconds LongestDeadline(600'000);
+/** Nodes that one request may be offered to; refusals of nodes cost little, but each takes a round trip. */
+constexpr std::size_t MostOffers = 4;
+/** A repeat starts only if the usual time to an answer is still left. */
+constexpr double RepeatTimeShare = 1.0;
+/** An attempt without an answer is repeated elsewhere after this many times the usual time to an answer. */
+constexpr double PatienceFactor = 5;
+constexpr std::chrono::milliseconds LeastPatience(120);
+/** Weight of one answer in the mean time to an answer. */
+constexpr double AnswerWeight = 0.05;
+/** Return of a caller that no upstream had room for, if none says when. */
+constexpr std::chrono::milliseconds UsualReturn(300);
+/** Return of a caller that came before this node knows the rules. */
+constexpr std::chrono::milliseconds StartReturn(500);
+const Logger Log("entry");
+
+std::optional<std::chrono::milliseconds> parseMilliseconds(const std::string *text)
+{
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const char *end = text->data() + text->size();
+    const auto parsed = std::from_chars(text->data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end || value < 0) {
+        return std::nullopt;
+    }
+    return std::min(std::chrono::milliseconds(value), LongestDeadline);
+}
+
+} // namespace
+
+EntryPath::EntryPath(Environment environment)
+    : m_environment(std::move(environment))
+    , m_chooser(m_environment.random)
+{
+}
+
+HttpResponseMessage EntryPath::serve(HttpRequestMessage &&request, PendingRequest &pending)
+{
+    Entry entry;
+    entry.arrivedAt = m_environment.loop.now();
+    if (auto answer = identify(request, entry)) {
+        return std::move(*answer);
+    }
+    if (auto answer = admit(entry)) {
+        return std::move(*answer);
+    }
+    return forward(std::move(request), entry, pending);
+}
+
+std::optional<HttpResponseMessage> EntryPath::identify(HttpRequestMessage &request, Entry &entry)
+{
+    const auto &names = m_environment.headers;
+    if (const auto *id = findHeader(request.headers, names.requestId)) {
+        entry.requestId = *id;
+    }
+    entry.rules = m_environment.rules();
+    if (!entry.rules) {
+        return refuse(entry, ServiceUnavailable, "rules_unknown", StartReturn);
+    }
+    if (entry.requestId.empty()) {
+        return refuse(entry, BadRequest, "request_id_missing");
+    }
+    const auto *host = findHeader(request.headers, "Host");
+    entry.route = host == nullptr ? nullptr : entry.rules->route(*host, request.target);
+    if (entry.route == nullptr) {
+        return refuse(entry, NotFound, "no_route");
+    }
+    const auto *key = findHeader(request.headers, names.key);
+    if (!entry.rules->rules().accounts.empty() && !entry.route->isPublic) {
+        entry.account = key == nullptr ? nullptr : entry.rules->accountOf(*key);
+        if (entry.account == nullptr) {
+            return refuse(entry, Unauthorized, "key_unknown");
+        }
+    }
+    const auto timeLimit = std::chrono::milliseconds(entry.route->timeoutMilliseconds);
+    const auto asked = parseMilliseconds(findHeader(request.headers, names.deadline));
+    Duration allowed = asked ? Duration(*asked) : Duration(DefaultDeadline);
+    if (timeLimit.count() > 0) {
+        allowed = std::min<Duration>(allowed, timeLimit);
+    }
+    entry.deadline = entry.arrivedAt + allowed;
+    entry.origin.rootRoute = entry.route->name;
+    entry.origin.rank = entry.route->rank;
+    if (entry.account != nullptr) {
+        if (entry.account->rank != TrafficAccount::NoRank) {
+            entry.origin.rank = entry.account->rank;
+        }
+    } else if (asked) {
+        if (const auto origin = m_environment.runner.originOfCall(entry.arrivedAt + *asked)) {
+            entry.origin = *origin;
+        }
+    }
+    entry.fingerprint = RequestFingerprint::of(AccountName(entry.account == nullptr ? "" : entry.account->name.text()),
+                                               RouteName(request.method + " " + request.target),
+                                               request.body);
+    removeHopByHopHeaders(request.headers);
+    for (const auto *it : { &names.key, &names.account, &names.callerService, &names.expectedUpstream, &names.deadline }) {
+        removeHeader(request.headers, *it);
+    }
+    request.headers.push_back({ names.callerService, m_environment.settings.service.text() });
+    if (entry.account != nullptr) {
+        request.headers.push_back({ names.account, entry.account->name.text() });
+    }
+    return std::nullopt;
+}
+
+std::optional<HttpResponseMessage> EntryPath::admit(Entry &entry)
+{
+    const TimePoint now = m_environment.loop.now();
+    if (entry.account != nullptr) {
+        constexpr double Milli = 1000;
+        const AccountLimit limit{ entry.account->milliRate / Milli, static_cast<double>(entry.account->burst) };
+        if (const auto wait = m_environment.accounts.admit(entry.account->name, limit, now)) {
+            return refuse(entry, TooManyRequests, "rate_exceeded", *wait);
+        }
+    }
+    if (!entry.origin.inner) {
+        if (const auto wait = m_environment.trees.admit(entry.route->name, entry.origin.rank, now)) {
+            return refuse(entry, ServiceUnavailable, "tree_shed", *wait);
+        }
+    }
+    const auto *service = m_split.next(*entry.route);
+    if (service == nullptr) {
+        return refuse(entry, ServiceUnavailable, "no_service", UsualReturn);
+    }
+    entry.service = *service;
+    m_environment.retries.recordRequest(entry.service, now);
+    if (entry.origin.repeat) {
+        m_environment.retries.charge(entry.service, now);
+    }
+    return std::nullopt;
+}
+
+HttpResponseMessage EntryPath::forward(HttpRequestMessage &&request, Entry &entry, PendingRequest &pending)
+{
+    Attempts attempts;
+    while (attempts.tried.size() < MostOffers && !pending.cancelled() && m_environment.loop.clock().now() < entry.deadline) {
+        const auto way = choose(entry, attempts);
+        if (!way) {
+            break;
+        }
+        const TimePoint startedAt = m_environment.loop.clock().now();
+        attempts.tried.push_back(way->node);
+        attempts.last = attempt(*way, request, entry, pending, attempts.mayHaveRun);
+        learn(entry, attempts.last, startedAt);
+        if (attempts.last.outcome == RunOutcome::Rejected || !neverRan(attempts.last.outcome)) {
+            ++attempts.sent;
+        }
+        if (attempts.last.outcome == RunOutcome::Answered && attempts.last.response.status < FirstServerError) {
+            break;
+        }
+        if (attempts.last.retryAfterMilliseconds > 0) {
+            const auto wait = attempts.last.retryAfterMilliseconds;
+            attempts.retryAfterMilliseconds = attempts.retryAfterMilliseconds == 0 ? wait : std::min(wait, attempts.retryAfterMilliseconds);
+        }
+        const bool ran = !neverRan(attempts.last.outcome);
+        attempts.mayHaveRun = attempts.mayHaveRun || ran;
+        if (attempts.last.outcome == RunOutcome::Poisonous) {
+            break;
+        }
+        const bool impatient = attempts.last.outcome == RunOutcome::TimedOut && m_environment.loop.clock().now() < entry.deadline;
+        if (impatient && attempts.sent < std::max(1U, entry.route->maximumAttempts)) {
+            continue; // the repeat was paid for when the attempt was given up
+        }
+        if ((ran || attempts.last.outcome == RunOutcome::Rejected) && !mayRepeat(entry, attempts)) {
+            break;
+        }
+    }
+    return conclude(entry, std::move(attempts));
+}
+
+std::optional<UpstreamWay> EntryPath::choose(const Entry &entry, const Attempts &attempts)
+{
+    auto ways = m_environment.ways(entry.service);
+    std::vector<UpstreamCandidate> candidates;
+    candidates.reserve(ways.size());
+    for (auto &it : ways) {
+        it.candidate.tried = std::find(attempts.tried.begin(), attempts.tried.end(), it.node) != attempts.tried.end();
+        candidates.push_back(it.candidate);
+    }
+    auto index = m_chooser.choose(candidates, entry.route->idempotent);
+    if (!index && attempts.mayHaveRun) {
+        // A single upstream that broke off may still do better the second time.
+        for (auto &it : candidates) {
+            it.tried = false;
+        }
+        index = m_chooser.choose(candidates, entry.route->idempotent);
+    }
+    if (!index) {
+        return std::nullopt;
+    }
+    return std::move(ways[*index]);
+}
+
+RunReply
+EntryPath::attempt(const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, bool repeat)
+{
+    RunFrame frame;
+    frame.service = entry.service;
+    frame.route = entry.route->name;
+    frame.origin = entry.origin;
+    frame.origin.repeat = frame.origin.repeat || repeat;
+    frame.idempotent = entry.route->idempotent;
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(entry.deadline - m_environment.loop.clock().now()).count();
+    frame.remainingMicroseconds = static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
+    frame.fingerprint = entry.fingerprint;
+    frame.request = request;
+
+    // Owned by the handler as well: the result may come after this fiber has gone on.
+    struct State {
+        std::optional<RunReply> result;
+        PendingRequest *pending = nullptr;
+    };
+    const auto state = std::make_shared<State>();
+    state->pending = &pending;
+    auto done = [state](RunReply &&result) {
+        state->result = std::move(result);
+        if (state->pending != nullptr) {
+            state->pending->wake();
+        }
+    };
+    const std::uint64_t call =
+        way.link ? way.link->call(std::move(frame), std::move(done)) : m_environment.runner.submit(std::move(frame), std::move(done));
+    const TimePoint patience = attemptDeadline(entry);
+    bool patient = patience < entry.deadline;
+    while (!state->result && !pending.cancelled()) {
+        if (pending.wait(patient ? patience : entry.deadline) == WakeReason::Woken || state->result) {
+            continue;
+        }
+        if (!patient) {
+            break;
+        }
+        patient = false;
+        const bool repeatable = entry.route->idempotent && !repeat && entry.route->maximumAttempts > 1;
+        if (repeatable && m_environment.retries.tryRepeat(entry.service, m_environment.loop.now())) {
+            m_environment.metrics.counter("pimentohollow_impatient_repeats_total").add();
+            state->pending = nullptr;
+            way.link ? way.link->cancel(call) : m_environment.runner.cancel(call);
+            return { RunOutcome::TimedOut, 0, {} };
+        }
+    }
+    state->pending = nullptr;
+    if (state->result) {
+        return std::move(*state->result);
+    }
+    way.link ? way.link->cancel(call) : m_environment.runner.cancel(call);
+    return { RunOutcome::TimedOut, 0, {} };
+}
+
+bool EntryPath::mayRepeat(const Entry &entry, const Attempts &attempts)
+{
+    const bool allowed = entry.route->idempotent || attempts.last.outcome == RunOutcome::Rejected;
+    if (!allowed || attempts.sent >= std::max(1U, entry.route->maximumAttempts)) {
+        return false;
+    }
+    const auto found = m_answerSeconds.find(entry.route->name);
+    const double usual = found == m_answerSeconds.end() ? 0 : found->second;
+    const double left = std::chrono::duration<double>(entry.deadline - m_environment.loop.clock().now()).count();
+    if (left < usual * RepeatTimeShare) {
+        return false;
+    }
+    return m_environment.retries.tryRepeat(entry.service, m_environment.loop.now());
+}
+
+TimePoint EntryPath::attemptDeadline(const Entry &entry) const
+{
+    const auto found = m_answerSeconds.find(entry.route->name);
+    if (found == m_answerSeconds.end()) {
+        return entry.deadline;
+    }
+    const auto patience = std::max<Duration>(
+        LeastPatience, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found->second * PatienceFactor)));
+    const auto usual = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found->second));
+    const TimePoint due = m_environment.loop.now() + patience;
+    return due + usual < entry.deadline ? due : entry.deadline;
+}
+
+HttpResponseMessage EntryPath::conclude(const Entry &entry, Attempts &&attempts)
+{
+    m_environment.metrics.counter("pimentohollow_requests_total", { { "outcome", RunOutcomeNames.name(attempts.last.outcome) } }).add();
+    if (attempts.last.outcome == RunOutcome::Answered) {
+        m_environment.metrics.histogram("pimentohollow_request_seconds").record(m_environment.loop.clock().now() - entry.arrivedAt);
+        return std::move(attempts.last.response);
+    }
+    const bool none = attempts.tried.empty();
+    const auto reason = none ? std::string_view("no_upstream") : RunOutcomeNames.name(attempts.last.outcome);
+    if (!attempts.mayHaveRun) {
+        const Duration wait = attempts.retryAfterMilliseconds == 0 ? Duration(UsualReturn)
+                                                                   : Duration(std::chrono::milliseconds(attempts.retryAfterMilliseconds));
+        return refuse(
+            entry, ServiceUnavailable, reason, wait + std::chrono::duration_cast<Duration>(wait * (m_environment.random.unit() / 2)));
+    }
+    return refuse(entry, attempts.last.outcome == RunOutcome::TimedOut ? GatewayTimeout : BadGateway, reason);
+}
+
+HttpResponseMessage EntryPath::refuse(const Entry &entry, std::uint16_t status, std::string_view reason, Duration retryAfter)
+{
+    m_environment.metrics.counter("pimentohollow_refusals_total", { { "reason", reason } }).add();
+    const auto ms = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    Log.info("refused",
+             { { "request", entry.requestId },
+               { "status", std::to_string(status) },
+               { "reason", std::string(reason) },
+               { "route", entry.route == nullptr ? "" : entry.route->name.text() },
+               { "account", entry.account == nullptr ? "" : entry.account->name.text() },
+               { "service", entry.service.text() },
+               { "rank", std::to_string(entry.origin.rank) },
+               { "rules", entry.rules ? std::to_string(entry.rules->version()) : "" },
+               { "held_ms", ms(m_environment.loop.clock().now() - entry.arrivedAt) },
+               { "retry_after_ms", ms(retryAfter) } });
+    HttpResponseMessage response;
+    response.status = status;
+    response.headers.push_back({ "Content-Type", "text/plain" });
+    if (!entry.requestId.empty()) {
+        response.headers.push_back({ m_environment.headers.requestId, entry.requestId });
+    }
+    if (retryAfter > Duration::zero()) {
+        response.headers.push_back({ "Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()) });
+    }
+    response.body = reason;
+    return response;
+}
+
+void EntryPath::learn(const Entry &entry, const RunReply &result, TimePoint startedAt)
+{
+    if (result.outcome != RunOutcome::Answered || result.response.status >= FirstServerError) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(m_environment.loop.clock().now() - startedAt).count();
+    auto &mean = m_answerSeconds[entry.route->name];
+    mean = mean == 0 ? seconds : mean + AnswerWeight * (seconds - mean);
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/callers/entrypath.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "core/random.h"
+#include "mesh/callers/pendingrequest.h"
+#include "mesh/decisions/accountallowance.h"
+#include "mesh/decisions/retryallowance.h"
+#include "mesh/decisions/treeadmission.h"
+#include "mesh/decisions/upstreamchooser.h"
+#include "mesh/decisions/weightedsplit.h"
+#include "mesh/links/meshlink.h"
+#include "mesh/model/meshsettings.h"
+#include "mesh/model/ruleindex.h"
+#include "mesh/upstream/upstreamrunner.h"
+#include "metrics/metricregistry.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+/** An upstream of a service and the way to it. */
+struct UpstreamWay {
+    UpstreamCandidate candidate;
+    NodeName node;
+    /** nullptr for the upstream beside this node. */
+    std::shared_ptr<MeshLink> link;
+};
+
+/**
+ * Serves a request at the node where it enters the mesh: finds its route and account, decides whether it may start, and sends it to the
+ * nodes beside the upstreams until it has an answer, the time is up, or no attempt is left.
+ */
+class EntryPath
+{
+public:
+    struct Environment {
+        EventLoop &loop;
+        const MeshSettings &settings;
+        const HeaderNames &headers;
+        UpstreamRunner &runner;
+        AccountAllowance &accounts;
+        RetryAllowance &retries;
+        TreeAdmission &trees;
+        Random &random;
+        MetricRegistry &metrics;
+        /** The rules in force; nullptr before the first ones are known. */
+        std::function<std::shared_ptr<const RuleIndex>()> rules;
+        std::function<std::vector<UpstreamWay>(const ServiceName &)> ways;
+    };
+
+    explicit EntryPath(Environment environment);
+
+    /** Runs in a fiber of the request. */
+    HttpResponseMessage serve(HttpRequestMessage &&request, PendingRequest &pending);
+
+private:
+    /** A request on its way through the steps. */
+    struct Entry {
+        std::shared_ptr<const RuleIndex> rules;
+        const TrafficRoute *route = nullptr;
+        const TrafficAccount *account = nullptr;
+        std::string requestId;
+        TimePoint arrivedAt{};
+        TimePoint deadline{};
+        CallOrigin origin;
+        ServiceName service;
+        RequestFingerprint fingerprint;
+    };
+
+    /** How the attempts of a request went. */
+    struct Attempts {
+        std::vector<NodeName> tried;
+        /** Attempts that an upstream may have got. */
+        std::uint32_t sent = 0;
+        bool mayHaveRun = false;
+        RunReply last;
+        /** Shortest time after which a node expects room. */
+        std::uint32_t retryAfterMilliseconds = 0;
+    };
+
+    std::optional<HttpResponseMessage> identify(HttpRequestMessage &request, Entry &entry);
+    std::optional<HttpResponseMessage> admit(Entry &entry);
+    HttpResponseMessage forward(HttpRequestMessage &&request, Entry &entry, PendingRequest &pending);
+    std::optional<UpstreamWay> choose(const Entry &entry, const Attempts &attempts);
+    RunReply attempt(const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, bool repeat);
+    bool mayRepeat(const Entry &entry, const Attempts &attempts);
+    TimePoint attemptDeadline(const Entry &entry) const;
+    HttpResponseMessage conclude(const Entry &entry, Attempts &&attempts);
+    HttpResponseMessage refuse(const Entry &entry, std::uint16_t status, std::string_view reason, Duration retryAfter = {});
+    void learn(const Entry &entry, const RunReply &result, TimePoint startedAt);
+
+    Environment m_environment;
+    WeightedSplit m_split;
+    UpstreamChooser m_chooser;
+    /** Mean time to an answer by route, in seconds. */
+    std::unordered_map<RouteName, double> m_answerSeconds;
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/decisions/slotqueue.cpp
@@ -0,0 +1,139 @@
+#include "mesh/decisions/slotqueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+/** Share of the announced slots that is used: upstreams slow down when nearly all slots are taken. */
+constexpr double UsableShare = 0.95;
+/** Weight of one run in the moving averages. */
+constexpr double RunWeight = 0.05;
+/** Share of the mean run time that must be left when a request starts; shorter than average runs may still make it. */
+constexpr double LeastRunShare = 0.6;
+/** Requests that may wait for each slot, whatever their deadlines. */
+constexpr std::size_t MostWaitingPerSlot = 8;
+constexpr std::chrono::milliseconds ShortestReturn(50);
+constexpr std::chrono::seconds LongestReturn(2);
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+void SlotQueue::setSlots(std::uint32_t slots)
+{
+    m_usableSlots = slots == 0 ? 0 : std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::floor(slots * UsableShare)));
+}
+
+SlotDecision SlotQueue::offer(const SlotRequest &request, TimePoint now)
+{
+    const std::int64_t urgency = static_cast<std::int64_t>(request.rank) - (request.inner ? 1 : 0);
+    const Position position{ urgency, ++m_nextPosition };
+    if (m_running.size() < m_usableSlots && m_waiting.empty() && canFinish(request, now)) {
+        m_running.emplace(request.ticket, request.route);
+        return SlotGranted{};
+    }
+    const auto ahead = static_cast<std::size_t>(std::distance(m_waiting.begin(), m_waiting.lower_bound(position)));
+    const Duration wait = expectedWait(ahead);
+    if (m_waiting.size() >= MostWaitingPerSlot * m_usableSlots || !canFinish(request, now + wait)) {
+        return SlotRefused{ std::clamp<Duration>(expectedWait(m_waiting.size()), ShortestReturn, LongestReturn) };
+    }
+    m_waiting.emplace(position, request);
+    m_positions.emplace(request.ticket, position);
+    return SlotAwaited{};
+}
+
+SlotSchedule SlotQueue::finished(std::uint64_t ticket, std::optional<Duration> runTime, TimePoint now)
+{
+    const auto found = m_running.find(ticket);
+    if (found != m_running.end()) {
+        if (runTime) {
+            const double seconds = std::chrono::duration<double>(*runTime).count();
+            auto &mean = m_runTimes[found->second];
+            mean = mean == 0 ? seconds : mean + RunWeight * (seconds - mean);
+            m_meanRunTime = m_meanRunTime == 0 ? seconds : m_meanRunTime + RunWeight * (seconds - m_meanRunTime);
+        }
+        m_running.erase(found);
+    }
+    return schedule(now);
+}
+
+bool SlotQueue::remove(std::uint64_t ticket)
+{
+    const auto found = m_positions.find(ticket);
+    if (found == m_positions.end()) {
+        return false;
+    }
+    m_waiting.erase(found->second);
+    m_positions.erase(found);
+    return true;
+}
+
+SlotSchedule SlotQueue::schedule(TimePoint now)
+{
+    SlotSchedule result;
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        const SlotRequest &request = it->second;
+        if (!canFinish(request, now)) {
+            result.refuse.push_back(request.ticket);
+        } else if (m_running.size() < m_usableSlots) {
+            m_running.emplace(request.ticket, request.route);
+            result.start.push_back(request.ticket);
+        } else {
+            ++it;
+            continue;
+        }
+        m_positions.erase(request.ticket);
+        it = m_waiting.erase(it);
+    }
+    return result;
+}
+
+SlotSchedule SlotQueue::refuseAll()
+{
+    SlotSchedule result;
+    for (const auto &[position, request] : m_waiting) {
+        result.refuse.push_back(request.ticket);
+    }
+    m_waiting.clear();
+    m_positions.clear();
+    return result;
+}
+
+Duration SlotQueue::expectedWait() const
+{
+    return expectedWait(m_waiting.size());
+}
+
+Duration SlotQueue::runTime(const RouteName &route) const
+{
+    const auto found = m_runTimes.find(route);
+    return found == m_runTimes.end() ? Duration{} : fromSeconds(found->second);
+}
+
+bool SlotQueue::canFinish(const SlotRequest &request, TimePoint start) const
+{
+    const auto found = m_runTimes.find(request.route);
+    const double seconds = found == m_runTimes.end() ? 0 : found->second * LeastRunShare;
+    return start + fromSeconds(seconds) < request.expiry;
+}
+
+Duration SlotQueue::expectedWait(std::size_t ahead) const
+{
+    if (m_usableSlots == 0) {
+        return std::chrono::hours(1);
+    }
+    if (m_running.size() < m_usableSlots && ahead == 0) {
+        return {};
+    }
+    return fromSeconds(static_cast<double>(ahead + 1) * m_meanRunTime / m_usableSlots);
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/links/meshconnection.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "async/net/asyncsocket.h"
+#include "mesh/messages/meshcodec.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Pimentohollow
+{
+
+/**
+ * A connection between two nodes that carries frames in both directions. Frames of one round of the event loop leave in one write.
+ * A connection that fails, or whose other side doesn't read, is closed and reports that once.
+ */
+class MeshConnection : public std::enable_shared_from_this<MeshConnection>
+{
+public:
+    struct Handlers {
+        std::function<void(MeshFrame &&)> frame;
+        /** Not called after close(). */
+        std::function<void()> lost;
+    };
+
+    MeshConnection(std::unique_ptr<AsyncSocket> socket, Handlers handlers);
+
+    /** Starts to read. */
+    void start();
+    /** Queues a frame; dropped if the connection is closed. */
+    void send(const MeshFrame &frame);
+    void close();
+
+    bool isOpen() const
+    {
+        return m_socket->isOpen();
+    }
+
+    /** When bytes last came from the other side. */
+    TimePoint lastReceived() const
+    {
+        return m_lastReceived;
+    }
+
+private:
+    void read();
+    bool handleReceived(std::string &received);
+    void flush();
+    void lose();
+
+    EventLoop &m_loop;
+    std::unique_ptr<AsyncSocket> m_socket;
+    Handlers m_handlers;
+    std::string m_output;
+    bool m_flushPosted = false;
+    bool m_blocked = false;
+    TimePoint m_lastReceived;
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/links/meshlink.cpp
@@ -0,0 +1,184 @@
+#include "mesh/links/meshlink.h"
+
+#include "core/logger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds ConnectTime(700);
+constexpr std::chrono::milliseconds ShortestPause(50);
+/** Bounds the time until a node that has come back is used again. */
+constexpr std::chrono::milliseconds LongestPause(800);
+/** A connection without a byte for this long is given up; the other side sends a status several times in that time. */
+constexpr std::chrono::seconds DeadSilence(2);
+constexpr std::chrono::seconds PingInterval(1);
+const Logger Log("mesh");
+
+} // namespace
+
+MeshLink::MeshLink(EventLoop &loop, DirectoryEntry entry, Handlers handlers)
+    : m_loop(loop)
+    , m_entry(std::move(entry))
+    , m_handlers(std::move(handlers))
+    , m_pause(ShortestPause)
+    , m_downSince(loop.now())
+{
+}
+
+void MeshLink::start()
+{
+    if (m_stopped || m_connection || std::exchange(m_dialling, true)) {
+        return;
+    }
+    m_loop.spawn([self = shared_from_this()] {
+        self->dial();
+    });
+}
+
+void MeshLink::stop()
+{
+    m_stopped = true;
+    if (m_connection) {
+        m_connection->close();
+        m_connection.reset();
+    }
+    failPending(RunOutcome::Broken);
+}
+
+void MeshLink::setEntry(DirectoryEntry entry)
+{
+    const bool moved = !(entry.peerAddress == m_entry.peerAddress);
+    m_entry = std::move(entry);
+    m_pause = ShortestPause;
+    if (moved && m_connection) {
+        m_connection->close();
+        handleLost();
+    }
+}
+
+std::uint64_t MeshLink::call(RunFrame frame, ResultHandler done)
+{
+    const std::uint64_t id = ++m_nextCall;
+    if (!m_connection) {
+        m_loop.post([done = std::move(done)] {
+            done({ RunOutcome::Unreachable, 0, {} });
+        });
+        return id;
+    }
+    frame.call = id;
+    m_pending.emplace(id, std::move(done));
+    ++m_sentSinceLoad;
+    m_connection->send(std::move(frame));
+    return id;
+}
+
+void MeshLink::cancel(std::uint64_t call)
+{
+    if (m_pending.erase(call) != 0) {
+        send(CancelFrame{ call });
+    }
+}
+
+void MeshLink::send(const MeshFrame &frame)
+{
+    if (m_connection) {
+        m_connection->send(frame);
+    }
+}
+
+bool MeshLink::isReachable(TimePoint now, Duration silence) const
+{
+    return m_connection && now - m_connection->lastReceived() <= silence;
+}
+
+void MeshLink::checkLiveness(TimePoint now)
+{
+    if (!m_connection) {
+        return;
+    }
+    if (now - m_connection->lastReceived() > DeadSilence) {
+        Log.warning("peer_silent", { { "peer", m_entry.node.text() }, { "address", m_entry.peerAddress.text() } });
+        m_connection->close();
+        handleLost();
+        return;
+    }
+    if (now - m_lastPing >= PingInterval) {
+        m_lastPing = now;
+        m_connection->send(PingFrame{});
+    }
+}
+
+void MeshLink::dial()
+{
+    while (!m_stopped) {
+        auto socket = AsyncSocket::connect(m_loop, m_entry.peerAddress, m_loop.clock().now() + ConnectTime);
+        if (m_stopped) {
+            break;
+        }
+        if (socket) {
+            const std::weak_ptr<MeshLink> weak = weak_from_this();
+            m_connection = std::make_shared<MeshConnection>(std::move(*socket),
+                                                            MeshConnection::Handlers{ [weak](MeshFrame &&frame) {
+                                                                                         if (const auto self = weak.lock()) {
+                                                                                             self->handleFrame(std::move(frame));
+                                                                                         }
+                                                                                     },
+                                                                                      [weak] {
+                                                                                          if (const auto self = weak.lock()) {
+                                                                                              self->handleLost();
+                                                                                          }
+                                                                                      } });
+            m_connection->start();
+            m_connection->send(m_handlers.hello());
+            m_downSince.reset();
+            m_pause = ShortestPause;
+            Log.info("peer_connected", { { "peer", m_entry.node.text() }, { "address", m_entry.peerAddress.text() } });
+            m_handlers.changed(*this);
+            break;
+        }
+        m_loop.sleepFor(m_pause);
+        m_pause = std::min<Duration>(m_pause * 2, LongestPause);
+    }
+    m_dialling = false;
+}
+
+void MeshLink::handleFrame(MeshFrame &&frame)
+{
+    if (auto *result = std::get_if<RunReplyFrame>(&frame)) {
+        setLoad(result->load);
+        const auto found = m_pending.find(result->call);
+        if (found != m_pending.end()) {
+            const auto done = std::move(found->second);
+            m_pending.erase(found);
+            done(std::move(result->result));
+        }
+        return;
+    }
+    m_handlers.frame(*this, std::move(frame));
+}
+
+void MeshLink::handleLost()
+{
+    m_connection.reset();
+    m_downSince = m_loop.now();
+    m_load.accepting = false;
+    Log.warning("peer_lost", { { "peer", m_entry.node.text() }, { "pending", std::to_string(m_pending.size()) } });
+    failPending(RunOutcome::Broken);
+    m_handlers.changed(*this);
+    start();
+}
+
+void MeshLink::failPending(RunOutcome outcome)
+{
+    for (const auto &[id, done] : std::exchange(m_pending, {})) {
+        done({ outcome, 0, {} });
+    }
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/links/meshlink.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "mesh/links/meshconnection.h"
+
+#include <unordered_map>
+
+namespace Pimentohollow
+{
+
+/**
+ * This node's way to another node: dials it, redials when the connection fails or falls silent, and carries calls to its upstream.
+ */
+class MeshLink : public std::enable_shared_from_this<MeshLink>
+{
+public:
+    using ResultHandler = std::function<void(RunReply &&)>;
+
+    struct Handlers {
+        /** Status, rules and hello frames of the other node. */
+        std::function<void(MeshLink &, MeshFrame &&)> frame;
+        /** The connection was made or lost. */
+        std::function<void(MeshLink &)> changed;
+        /** The hello of this node, made anew for each connection. */
+        std::function<HelloFrame()> hello;
+    };
+
+    MeshLink(EventLoop &loop, DirectoryEntry entry, Handlers handlers);
+
+    /** Starts to dial, and goes on until stop(). */
+    void start();
+    void stop();
+    /** The other node was restarted, or another one took its address. */
+    void setEntry(DirectoryEntry entry);
+
+    /**
+     * Sends a call; the id is for cancel(). The handler is called once, from the loop: with Unreachable if the call was not sent, and with
+     * Broken if the connection is lost before the result.
+     */
+    std::uint64_t call(RunFrame frame, ResultHandler done);
+    /** The result isn't wanted any more; the handler is not called. */
+    void cancel(std::uint64_t call);
+    void send(const MeshFrame &frame);
+
+    /** Connected, and heard from lately. @param silence longest time without a byte */
+    bool isReachable(TimePoint now, Duration silence) const;
+
+    const DirectoryEntry &entry() const
+    {
+        return m_entry;
+    }
+
+    const LoadReport &load() const
+    {
+        return m_load;
+    }
+
+    void setLoad(const LoadReport &load)
+    {
+        m_load = load;
+        m_sentSinceLoad = 0;
+    }
+
+    std::uint32_t sentSinceLoad() const
+    {
+        return m_sentSinceLoad;
+    }
+
+    std::uint32_t pending() const
+    {
+        return static_cast<std::uint32_t>(m_pending.size());
+    }
+
+    /** When the connection was lost, or never made, since; nothing while it is open. */
+    std::optional<TimePoint> downSince() const
+    {
+        return m_downSince;
+    }
+
+    /** Closes a connection that is silent for too long, and keeps a live one busy. Call it regularly. */
+    void checkLiveness(TimePoint now);
+
+private:
+    void dial();
+    void handleFrame(MeshFrame &&frame);
+    void handleLost();
+    void failPending(RunOutcome outcome);
+
+    EventLoop &m_loop;
+    DirectoryEntry m_entry;
+    Handlers m_handlers;
+    std::shared_ptr<MeshConnection> m_connection;
+    bool m_stopped = false;
+    bool m_dialling = false;
+    Duration m_pause{};
+    std::optional<TimePoint> m_downSince;
+    TimePoint m_lastPing{};
+    std::uint64_t m_nextCall = 0;
+    std::unordered_map<std::uint64_t, ResultHandler> m_pending;
+    LoadReport m_load;
+    std::uint32_t m_sentSinceLoad = 0;
+};
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/messages/meshframes.h
@@ -0,0 +1,226 @@
+#pragma once
+
+#include "core/enumtable.h"
+#include "core/names.h"
+#include "mesh/model/fleetstore.h"
+#include "mesh/model/trafficrules.h"
+#include "messages/call/httpmessages.h"
+#include "poison/crashtracker.h"
+
+#include <cereal/types/variant.hpp>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+/** First frame in both directions of a connection between nodes. */
+struct HelloFrame {
+    DirectoryEntry sender;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sender);
+    }
+};
+
+/** Where a call belongs in its tree. */
+struct CallOrigin {
+    /** The route of the request at the root of the tree. */
+    RouteName rootRoute;
+    /** Rank of the root; 0 is the most urgent. */
+    std::uint32_t rank = 0;
+    /** Made by an upstream while it runs another request. */
+    bool inner = false;
+    /** This request, or one above it in the tree, runs for a second time. */
+    bool repeat = false;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(rootRoute, rank, inner, repeat);
+    }
+};
+
+/** Asks the node beside an upstream to run a request there. */
+struct RunFrame {
+    std::uint64_t call = 0;
+    /** The service that the sender expects; an address may have passed to another one. */
+    ServiceName service;
+    /** The request's own route. */
+    RouteName route;
+    CallOrigin origin;
+    bool idempotent = false;
+    /** Time that the caller still waits, in microseconds. */
+    std::uint32_t remainingMicroseconds = 0;
+    RequestFingerprint fingerprint;
+    /** Without the headers that the serving node sets. */
+    HttpRequestMessage request;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(call, service, route, origin, idempotent, remainingMicroseconds, fingerprint, request);
+    }
+};
+
+/** The caller has left or was answered otherwise. */
+struct CancelFrame {
+    std::uint64_t call = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(call);
+    }
+};
+
+enum class RunOutcome : std::uint8_t {
+    Answered, ///< the upstream's whole answer
+    Full, ///< not run: no slot in time
+    Leaving, ///< not run: the upstream or its node is leaving or not known yet
+    Unreachable, ///< not run: the upstream takes no connection
+    Rejected, ///< not run: the upstream itself said so
+    Poisonous, ///< not run: requests like this one crashed several upstreams
+    Broken, ///< may have run: no whole answer
+    TimedOut, ///< may have run: no answer in time
+};
+
+inline constexpr auto RunOutcomeNames = makeEnumTable<RunOutcome>({
+    { RunOutcome::Answered, "answered" },
+    { RunOutcome::Full, "full" },
+    { RunOutcome::Leaving, "leaving" },
+    { RunOutcome::Unreachable, "unreachable" },
+    { RunOutcome::Rejected, "rejected" },
+    { RunOutcome::Poisonous, "poisonous" },
+    { RunOutcome::Broken, "broken" },
+    { RunOutcome::TimedOut, "timed_out" },
+});
+
+/** True if the request has not run and never will. */
+constexpr bool neverRan(RunOutcome outcome)
+{
+    return outcome != RunOutcome::Answered && outcome != RunOutcome::Broken && outcome != RunOutcome::TimedOut;
+}
+
+struct RunReply {
+    RunOutcome outcome = RunOutcome::Broken;
+    /** When it makes sense to come back, in ms; 0 if unknown. */
+    std::uint32_t retryAfterMilliseconds = 0;
+    /** Only for Answered. */
+    HttpResponseMessage response;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(outcome, retryAfterMilliseconds, response);
+    }
+};
+
+/** Load of an upstream as its node sees it. */
+struct LoadReport {
+    /** New requests are accepted. */
+    bool accepting = false;
+    std::uint32_t slots = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /** Time that a request waits for a slot, in ms. */
+    std::uint32_t waitMilliseconds = 0;
+    /** Mean run time, in microseconds; 0 if unknown. */
+    std::uint32_t runMicroseconds = 0;
+    /** Moving average of how well requests end here, 0 to 255 for the best. */
+    std::uint8_t quality = 255;
+
+    bool operator==(const LoadReport &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(accepting, slots, running, waiting, waitMilliseconds, runMicroseconds, quality);
+    }
+};
+
+struct RunReplyFrame {
+    std::uint64_t call = 0;
+    RunReply result;
+    LoadReport load;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(call, result, load);
+    }
+};
+
+/** Demand of one client account at one node. */
+struct AccountDemand {
+    AccountName account;
+    /** Requests per second in tenths, admitted or not. */
+    std::uint32_t deciRate = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(account, deciRate);
+    }
+};
+
+/** Work that trees of one root route brought to an upstream. */
+struct RouteWork {
+    RouteName rootRoute;
+    /** Busy slots on average, in thousandths. */
+    std::uint32_t milliSlots = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(rootRoute, milliSlots);
+    }
+};
+
+/** What a node tells those that connected to it, several times a second. */
+struct StatusFrame {
+    std::uint64_t rulesVersion = 0;
+    LoadReport load;
+    std::vector<AccountDemand> demand;
+    std::vector<RouteWork> work;
+    std::vector<CrashReport> crashes;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(rulesVersion, load, demand, work, crashes);
+    }
+};
+
+struct RulesRequestFrame {
+    template <typename Archive>
+    void serialize(Archive & /*archive*/)
+    {
+    }
+};
+
+struct RulesFrame {
+    TrafficRules rules;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(rules);
+    }
+};
+
+/** Shows the other side that the connection is alive. */
+struct PingFrame {
+    template <typename Archive>
+    void serialize(Archive & /*archive*/)
+    {
+    }
+};
+
+using MeshFrame = std::variant<HelloFrame, RunFrame, CancelFrame, RunReplyFrame, StatusFrame, RulesRequestFrame, RulesFrame, PingFrame>;
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/node/meshnode.cpp
@@ -0,0 +1,608 @@
+#include "mesh/node/meshnode.h"
+
+#include "core/logger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds TickInterval(50);
+/** Status interval of a small fleet. */
+constexpr std::chrono::milliseconds ShortestStatusInterval(250);
+/** Status frames that a node sends per second, at most: the interval grows with the fleet. */
+constexpr std::size_t StatusFramesPerSecond = 80;
+constexpr std::chrono::milliseconds StoreRetryPause(250);
+constexpr std::chrono::seconds LongestStoreRetryPause(1);
+/** Changes of the directory are collected for this long, so that a fleet that starts doesn't wake every node for every other one. */
+constexpr std::chrono::milliseconds DirectoryPause(300);
+/** Time after the first rules in which links to peers may still be missing without the node being unready. */
+constexpr std::chrono::milliseconds LinkTime(1500);
+constexpr std::chrono::milliseconds RulesRequestInterval(300);
+/** Entries of nodes that could not be reached for this long are removed from the store. */
+constexpr std::chrono::seconds DeadPeerTime(60);
+/** The node goes on to serve for this long after its stop was asked for: callers take two failed readiness checks to turn away. */
+constexpr std::chrono::milliseconds LeastShutDownTime(2600);
+/** Kept back from the grace for the last answers. */
+constexpr std::chrono::milliseconds ShutDownMargin(300);
+/** Share of the fleet's allowance of repeats that nodes use; the rest covers repeats of whole subtrees. */
+constexpr double RetryShare = 0.45;
+const Logger Log("mesh");
+
+std::string keyOf(const DirectoryEntry &entry)
+{
+    return entry.peerAddress.text();
+}
+
+} // namespace
+
+MeshNode::MeshNode(Environment environment)
+    : m_environment(std::move(environment))
+    , m_loop(m_environment.loop)
+    , m_random(std::hash<std::string>()(m_environment.settings.node.text())
+               ^ static_cast<std::uint64_t>(m_loop.clock().now().time_since_epoch().count()))
+    , m_incarnation(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.clock().wallNow().time_since_epoch()).count()))
+    , m_crashes(m_loop.clock())
+    , m_retries({ m_environment.settings.retryRatio * RetryShare, 1, m_environment.settings.retryWindow })
+    , m_trees(m_random)
+    , m_runner({ m_loop,
+                 m_environment.settings,
+                 m_environment.headers,
+                 m_crashes,
+                 m_environment.metrics,
+                 [this] {
+                     upstreamChanged();
+                 } })
+    , m_entry({ m_loop,
+                m_environment.settings,
+                m_environment.headers,
+                m_runner,
+                m_accounts,
+                m_retries,
+                m_trees,
+                m_random,
+                m_environment.metrics,
+                [this] {
+                    return m_rules;
+                },
+                [this](const ServiceName &service) {
+                    return ways(service);
+                } })
+    , m_callerEnvironment{ m_loop,
+                           [this](HttpRequestMessage &&request, PendingRequest &pending) {
+                               ++m_activeRequests;
+                               auto response = m_entry.serve(std::move(request), pending);
+                               --m_activeRequests;
+                               return response;
+                           },
+                           [this] {
+                               return m_rules ? m_rules->rules().bounds : CallerBounds{};
+                           },
+                           [this] {
+                               return m_closing;
+                           } }
+    , m_callers(m_loop,
+                [this](std::unique_ptr<AsyncSocket> socket) {
+                    std::make_shared<CallerSession>(std::move(socket), m_callerEnvironment)->start();
+                })
+    , m_peerListener(m_loop, [this](std::unique_ptr<AsyncSocket> socket) {
+        acceptPeer(std::move(socket));
+    })
+{
+}
+
+MeshNode::~MeshNode() = default;
+
+Result<void> MeshNode::start()
+{
+    if (auto opened = m_peerListener.listen(m_environment.settings.peerListener); !opened) {
+        return opened;
+    }
+    if (auto opened = m_callers.listen(m_environment.settings.callerListener); !opened) {
+        return opened;
+    }
+    m_loop.spawn([this] {
+        followRules();
+    });
+    m_loop.spawn([this] {
+        followDirectory();
+    });
+    m_loop.spawn([this] {
+        tick();
+    });
+    return {};
+}
+
+void MeshNode::shutDown()
+{
+    if (std::exchange(m_closing, true)) {
+        return;
+    }
+    m_closingSince = m_loop.now();
+    m_runner.close();
+    sendStatus();
+    Log.info("shutdown_started", { { "active", std::to_string(m_activeRequests + m_runner.active()) } });
+    m_loop.spawn([this] {
+        finishShutDown();
+    });
+}
+
+bool MeshNode::isReady() const
+{
+    if (m_closing || !m_rules) {
+        return false;
+    }
+    const TimePoint now = m_loop.now();
+    if (now - m_rulesSince > LinkTime) {
+        return true;
+    }
+    const auto open = std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &it) {
+        return it.second->isReachable(now, suspectSilence());
+    });
+    return m_directoryRead && static_cast<std::size_t>(open) * 2 >= m_peers.size();
+}
+
+bool MeshNode::depart(const std::string &upstreamId)
+{
+    if (!m_runner.depart(upstreamId)) {
+        return false;
+    }
+    publish();
+    return true;
+}
+
+DirectoryEntry MeshNode::ownEntry() const
+{
+    const auto &settings = m_environment.settings;
+    return { settings.node, settings.dataCentre, settings.service, settings.peerListener, m_incarnation, m_runner.departed() };
+}
+
+std::vector<UpstreamWay> MeshNode::ways(const ServiceName &service) const
+{
+    constexpr double QualityScale = 255;
+    const TimePoint now = m_loop.now();
+    std::vector<UpstreamWay> result;
+    const auto add = [&result](const LoadReport &load, UpstreamCandidate candidate, NodeName node, std::shared_ptr<MeshLink> link) {
+        candidate.accepting = load.accepting;
+        candidate.slots = load.slots;
+        candidate.load = std::max(load.running + load.waiting + candidate.load, candidate.pending);
+        candidate.quality = load.quality / QualityScale;
+        candidate.runSeconds = load.runMicroseconds / 1e6;
+        result.push_back({ candidate, std::move(node), std::move(link) });
+    };
+    if (service == m_environment.settings.service) {
+        UpstreamCandidate own;
+        own.sameDataCentre = true;
+        own.reachable = true;
+        add(m_runner.load(), own, m_environment.settings.node, nullptr);
+    }
+    for (const auto &[key, link] : m_peers) {
+        if (link->entry().service != service) {
+            continue;
+        }
+        UpstreamCandidate candidate;
+        candidate.sameDataCentre = link->entry().dataCentre == m_environment.settings.dataCentre;
+        candidate.reachable = link->isReachable(now, suspectSilence());
+        candidate.load = link->sentSinceLoad();
+        candidate.pending = link->pending();
+        add(link->load(), candidate, link->entry().node, link);
+    }
+    return result;
+}
+
+Duration MeshNode::statusInterval() const
+{
+    const auto scaled = std::chrono::milliseconds(1000 * m_peers.size() / StatusFramesPerSecond);
+    return std::max<Duration>(ShortestStatusInterval, scaled);
+}
+
+Duration MeshNode::suspectSilence() const
+{
+    constexpr int MissedStatuses = 3;
+    return statusInterval() * MissedStatuses;
+}
+
+void MeshNode::followRules()
+{
+    Duration pause = StoreRetryPause;
+    bool known = false;
+    std::uint64_t position = 0;
+    while (!m_closing) {
+        const auto state = known ? m_environment.store.watchRules(position) : m_environment.store.readRules();
+        if (!state) {
+            known = known && state.error().kind != ErrorKind::NotFound;
+            Log.warning("rules_unavailable", { { "error", state.error().describe() } });
+            m_loop.sleepFor(pause);
+            pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+            continue;
+        }
+        pause = StoreRetryPause;
+        known = true;
+        position = state->position;
+        if (state->rules) {
+            applyRules(*state->rules, "store");
+        }
+    }
+}
+
+void MeshNode::followDirectory()
+{
+    Duration pause = StoreRetryPause;
+    std::uint64_t position = 0;
+    while (!m_closing) {
+        if (!m_directoryRead) {
+            const auto state = m_environment.store.readDirectory();
+            if (state) {
+                pause = StoreRetryPause;
+                position = state->position;
+                applyDirectory(state->entries);
+                m_directoryRead = true;
+                continue;
+            }
+            Log.warning("directory_unavailable", { { "error", state.error().describe() } });
+        } else {
+            const auto changes = m_environment.store.watchDirectory(position);
+            if (changes) {
+                pause = StoreRetryPause;
+                position = changes->position;
+                for (const auto &it : changes->changes) {
+                    apply(it);
+                }
+                m_loop.sleepFor(DirectoryPause);
+                continue;
+            }
+            Log.warning("directory_unavailable", { { "error", changes.error().describe() } });
+            m_directoryRead = changes.error().kind != ErrorKind::NotFound;
+        }
+        m_loop.sleepFor(pause);
+        pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+    }
+}
+
+void MeshNode::publish()
+{
+    m_publishAgain = true;
+    if (std::exchange(m_publishing, true)) {
+        return;
+    }
+    m_loop.spawn([this] {
+        Duration pause = StoreRetryPause;
+        while (m_publishAgain) {
+            m_publishAgain = false;
+            const auto entry = ownEntry();
+            if (const auto published = m_environment.store.publish(entry); !published) {
+                Log.warning("publish_failed", { { "error", published.error().describe() } });
+                m_publishAgain = true;
+                m_loop.sleepFor(pause);
+                pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+            }
+        }
+        m_publishing = false;
+        m_published = true;
+    });
+}
+
+void MeshNode::applyRules(const TrafficRules &rules, std::string_view source)
+{
+    if (m_rules && rules.version <= m_rules->version()) {
+        return;
+    }
+    if (!m_rules) {
+        m_rulesSince = m_loop.now();
+    }
+    Log.info("rules_applied",
+             { { "version", std::to_string(rules.version) },
+               { "previous", std::to_string(rulesVersion()) },
+               { "source", std::string(source) },
+               { "routes", std::to_string(rules.routes.size()) },
+               { "accounts", std::to_string(rules.accounts.size()) } });
+    m_rules = std::make_shared<const RuleIndex>(rules);
+}
+
+void MeshNode::applyDirectory(const std::vector<DirectoryEntry> &entries)
+{
+    std::set<std::string> keys;
+    for (const auto &it : entries) {
+        keys.insert(keyOf(it));
+        apply(it);
+    }
+    std::vector<std::string> removed;
+    for (const auto &[key, link] : m_peers) {
+        if (!keys.contains(key)) {
+            removed.push_back(key);
+        }
+    }
+    for (const auto &it : removed) {
+        removePeer(it);
+    }
+    if (!m_published) {
+        publish();
+    }
+}
+
+void MeshNode::apply(const DirectoryChange &change)
+{
+    const std::string ownKey = keyOf(ownEntry());
+    if (const auto *entry = std::get_if<DirectoryEntry>(&change)) {
+        if (keyOf(*entry) != ownKey) {
+            addPeer(*entry, true);
+        } else if (!m_published && entry->node == m_environment.settings.node && !entry->departedUpstream.empty()) {
+            m_runner.setDeparted(entry->departedUpstream);
+        }
+        return;
+    }
+    const auto &key = std::get<DirectoryRemoval>(change).key;
+    if (key != ownKey) {
+        removePeer(key);
+    } else if (m_published && !m_closing) {
+        publish();
+    }
+}
+
+void MeshNode::addPeer(const DirectoryEntry &entry, bool fromStore)
+{
+    const auto found = m_peers.find(keyOf(entry));
+    if (found != m_peers.end()) {
+        if (!(found->second->entry() == entry) && (fromStore || entry.incarnation > found->second->entry().incarnation)) {
+            found->second->setEntry(entry);
+        }
+        return;
+    }
+    Log.info("peer_added",
+             { { "peer", entry.node.text() },
+               { "service", entry.service.text() },
+               { "data_centre", entry.dataCentre.text() },
+               { "source", fromStore ? "store" : "peer" } });
+    auto link = std::make_shared<MeshLink>(m_loop,
+                                           entry,
+                                           MeshLink::Handlers{ [this](MeshLink &peer, MeshFrame &&frame) {
+                                                                  handlePeerFrame(peer, std::move(frame));
+                                                              },
+                                                               [](MeshLink &) {},
+                                                               [this] {
+                                                                   return HelloFrame{ ownEntry() };
+                                                               } });
+    m_peers.emplace(keyOf(entry), link);
+    link->start();
+    m_accounts.setNodes(m_peers.size() + 1);
+    m_retries.setSlack(m_environment.settings.retrySlack * RetryShare / static_cast<double>(m_peers.size() + 1));
+}
+
+void MeshNode::removePeer(const std::string &key)
+{
+    const auto found = m_peers.find(key);
+    if (found == m_peers.end()) {
+        return;
+    }
+    Log.info("peer_removed", { { "peer", found->second->entry().node.text() } });
+    const auto link = found->second;
+    m_peers.erase(found);
+    link->stop();
+    m_accounts.setNodes(m_peers.size() + 1);
+}
+
+void MeshNode::removeDeadPeers(TimePoint now)
+{
+    for (const auto &[key, link] : m_peers) {
+        const auto down = link->downSince();
+        if (!down || now - *down < DeadPeerTime) {
+            continue;
+        }
+        m_loop.spawn([this, entry = link->entry()] {
+            const auto withdrawn = m_environment.store.withdraw(entry);
+            Log.info("dead_peer_withdrawn",
+                     { { "peer", entry.node.text() }, { "result", withdrawn ? "ok" : withdrawn.error().describe() } });
+        });
+        removePeer(key);
+        return;
+    }
+}
+
+void MeshNode::acceptPeer(std::unique_ptr<AsyncSocket> socket)
+{
+    const auto holder = std::make_shared<std::weak_ptr<MeshConnection>>();
+    auto connection = std::make_shared<MeshConnection>(std::move(socket),
+                                                       MeshConnection::Handlers{ [this, holder](MeshFrame &&frame) {
+                                                                                    if (const auto self = holder->lock()) {
+                                                                                        handleInbound(self, std::move(frame));
+                                                                                    }
+                                                                                },
+                                                                                 [this, holder] {
+                                                                                     const auto self = holder->lock();
+                                                                                     const auto found = m_inbound.find(self);
+                                                                                     if (found == m_inbound.end()) {
+                                                                                         return;
+                                                                                     }
+                                                                                     const auto calls = std::move(found->second);
+                                                                                     m_inbound.erase(found);
+                                                                                     for (const auto &[call, ticket] : calls) {
+                                                                                         m_runner.cancel(ticket);
+                                                                                     }
+                                                                                 } });
+    *holder = connection;
+    m_inbound.emplace(connection, std::map<std::uint64_t, std::uint64_t>());
+    connection->start();
+    connection->send(HelloFrame{ ownEntry() });
+    connection->send(makeStatus(m_loop.now()));
+}
+
+void MeshNode::handleInbound(const Inbound &connection, MeshFrame &&frame)
+{
+    if (auto *run = std::get_if<RunFrame>(&frame)) {
+        runForPeer(connection, std::move(*run));
+    } else if (const auto *cancel = std::get_if<CancelFrame>(&frame)) {
+        auto &calls = m_inbound[connection];
+        const auto found = calls.find(cancel->call);
+        if (found != calls.end()) {
+            m_runner.cancel(found->second);
+            calls.erase(found);
+        }
+    } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
+        if (keyOf(hello->sender) != keyOf(ownEntry())) {
+            addPeer(hello->sender, false);
+        }
+    } else if (std::holds_alternative<RulesRequestFrame>(frame) && m_rules) {
+        connection->send(RulesFrame{ m_rules->rules() });
+    }
+}
+
+void MeshNode::runForPeer(const Inbound &connection, RunFrame &&frame)
+{
+    const std::uint64_t call = frame.call;
+    const std::weak_ptr<MeshConnection> weak = connection;
+    const auto ticket = m_runner.submit(std::move(frame), [this, weak, call](RunReply &&result) {
+        const auto open = weak.lock();
+        const auto found = open ? m_inbound.find(open) : m_inbound.end();
+        if (found == m_inbound.end()) {
+            return;
+        }
+        found->second.erase(call);
+        open->send(RunReplyFrame{ call, std::move(result), m_runner.load() });
+    });
+    m_inbound[connection][call] = ticket;
+}
+
+void MeshNode::handlePeerFrame(MeshLink &link, MeshFrame &&frame)
+{
+    if (const auto *status = std::get_if<StatusFrame>(&frame)) {
+        handleStatus(link, *status);
+    } else if (const auto *rules = std::get_if<RulesFrame>(&frame)) {
+        applyRules(rules->rules, link.entry().node.text());
+    } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
+        if (hello->sender.peerAddress == link.entry().peerAddress && hello->sender.incarnation >= link.entry().incarnation) {
+            link.setEntry(hello->sender);
+        }
+    }
+}
+
+void MeshNode::handleStatus(MeshLink &link, const StatusFrame &status)
+{
+    const TimePoint now = m_loop.now();
+    link.setLoad(status.load);
+    constexpr double Tenths = 10;
+    std::vector<MeasuredDemand> demand;
+    demand.reserve(status.demand.size());
+    for (const auto &it : status.demand) {
+        demand.push_back({ it.account, it.deciRate / Tenths });
+    }
+    m_accounts.reported(link.entry().node, demand, now);
+    constexpr double Milli = 1000;
+    for (const auto &it : status.work) {
+        m_trees.learnWork(it.rootRoute, link.entry().service, it.milliSlots / Milli, now);
+    }
+    for (const auto &it : status.crashes) {
+        m_crashes.merge(it);
+    }
+    if (status.rulesVersion > rulesVersion() && now - m_lastRulesRequest > RulesRequestInterval) {
+        m_lastRulesRequest = now;
+        link.send(RulesRequestFrame{});
+    }
+}
+
+StatusFrame MeshNode::makeStatus(TimePoint now)
+{
+    StatusFrame status;
+    status.rulesVersion = rulesVersion();
+    status.load = m_runner.load();
+    constexpr double Tenths = 10;
+    for (const auto &it : m_accounts.demand(now)) {
+        status.demand.push_back({ it.account, static_cast<std::uint32_t>(it.rate * Tenths) });
+    }
+    return status;
+}
+
+void MeshNode::sendStatus()
+{
+    const TimePoint now = m_loop.now();
+    m_lastStatus = now;
+    StatusFrame status = makeStatus(now);
+    status.work = m_runner.takeWork(now);
+    for (const auto &it : status.work) {
+        constexpr double Milli = 1000;
+        m_trees.learnWork(it.rootRoute, m_environment.settings.service, it.milliSlots / Milli, now);
+    }
+    status.crashes = m_crashes.takeReports();
+    const MeshFrame frame = std::move(status);
+    for (const auto &[connection, calls] : m_inbound) {
+        connection->send(frame);
+    }
+}
+
+void MeshNode::upstreamChanged()
+{
+    sendStatus();
+    if (!m_runner.departed().empty()) {
+        publish();
+    }
+}
+
+void MeshNode::tick()
+{
+    while (true) {
+        m_loop.sleepFor(TickInterval);
+        const TimePoint now = m_loop.now();
+        m_runner.tick();
+        if (now - m_lastStatus >= statusInterval()) {
+            sendStatus();
+        }
+        for (const auto &[key, link] : std::map(m_peers)) {
+            link->checkLiveness(now);
+        }
+        removeDeadPeers(now);
+        if (now - m_lastAdjust >= TreeAdmission::AdjustInterval) {
+            m_lastAdjust = now;
+            adjustTrees(now);
+        }
+    }
+}
+
+void MeshNode::adjustTrees(TimePoint now)
+{
+    struct Sum {
+        double waits = 0;
+        double slots = 0;
+    };
+    std::map<ServiceName, Sum> sums;
+    const auto add = [&sums](const ServiceName &service, const LoadReport &load) {
+        if (load.accepting) {
+            sums[service].waits += static_cast<double>(load.waitMilliseconds) * load.slots;
+            sums[service].slots += load.slots;
+        }
+    };
+    add(m_environment.settings.service, m_runner.load());
+    for (const auto &[key, link] : m_peers) {
+        if (link->isReachable(now, suspectSilence())) {
+            add(link->entry().service, link->load());
+        }
+    }
+    for (const auto &[service, sum] : sums) {
+        m_trees.setWait(service, std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(sum.waits / sum.slots)));
+    }
+    m_trees.adjust(now);
+}
+
+void MeshNode::finishShutDown()
+{
+    const TimePoint latest = m_closingSince + m_environment.settings.shutdownGrace - ShutDownMargin;
+    constexpr std::chrono::milliseconds CheckInterval(50);
+    while (m_loop.now() < latest) {
+        m_loop.sleepFor(CheckInterval);
+        const bool idle = m_activeRequests + m_runner.active() == 0;
+        if (idle && m_loop.now() - m_closingSince >= LeastShutDownTime) {
+            break;
+        }
+    }
+    if (!m_runner.departed().empty()) {
+        const auto withdrawn = m_environment.store.withdraw(ownEntry());
+        Log.info("withdrawn", { { "result", withdrawn ? "ok" : withdrawn.error().describe() } });
+    }
+    Log.info("shutdown_finished", { { "active", std::to_string(m_activeRequests + m_runner.active()) } });
+    m_loop.stop();
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/node/meshnode.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "async/net/asynclistener.h"
+#include "mesh/callers/callersession.h"
+#include "mesh/callers/entrypath.h"
+#include "mesh/links/meshlink.h"
+#include "mesh/model/fleetstore.h"
+#include "mesh/upstream/upstreamrunner.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Pimentohollow
+{
+
+/**
+ * One node of the mesh, on one event loop: the entry for the callers of its VM, the only way to the upstream beside it, and a peer of the
+ * other nodes. The store tells it the rules and the other nodes; what changes quickly (load, leaving upstreams, demand) nodes tell each
+ * other.
+ */
+class MeshNode
+{
+public:
+    struct Environment {
+        EventLoop &loop;
+        MeshSettings settings;
+        HeaderNames headers;
+        FleetStore &store;
+        MetricRegistry &metrics;
+    };
+
+    explicit MeshNode(Environment environment);
+    ~MeshNode();
+
+    /** Opens the listeners and starts to follow the store. Errors: Unavailable if an address can't be bound. */
+    Result<void> start();
+    /** Stops taking new work, ends when the accepted work is done, and stops the loop; at the latest within the grace of the settings. */
+    void shutDown();
+
+    /** Rules are known, the way to other nodes is open, and the node isn't ending. */
+    bool isReady() const;
+
+    /** What the upstream beside this node says; false if it is not of use. */
+    bool announce(const UpstreamReport &announcement)
+    {
+        return m_runner.announce(announcement);
+    }
+
+    bool depart(const std::string &upstreamId);
+
+    void setShutdownGrace(Duration grace)
+    {
+        m_environment.settings.shutdownGrace = grace;
+    }
+
+    std::uint64_t rulesVersion() const
+    {
+        return m_rules ? m_rules->version() : 0;
+    }
+
+private:
+    using Inbound = std::shared_ptr<MeshConnection>;
+
+    DirectoryEntry ownEntry() const;
+    std::vector<UpstreamWay> ways(const ServiceName &service) const;
+    Duration statusInterval() const;
+    Duration suspectSilence() const;
+
+    void followRules();
+    void followDirectory();
+    void publish();
+    void applyRules(const TrafficRules &rules, std::string_view source);
+    void applyDirectory(const std::vector<DirectoryEntry> &entries);
+    void apply(const DirectoryChange &change);
+    void addPeer(const DirectoryEntry &entry, bool fromStore);
+    void removePeer(const std::string &key);
+    void removeDeadPeers(TimePoint now);
+
+    void acceptPeer(std::unique_ptr<AsyncSocket> socket);
+    void handleInbound(const Inbound &connection, MeshFrame &&frame);
+    void runForPeer(const Inbound &connection, RunFrame &&frame);
+    void handleStatus(MeshLink &link, const StatusFrame &status);
+    void handlePeerFrame(MeshLink &link, MeshFrame &&frame);
+    StatusFrame makeStatus(TimePoint now);
+    void sendStatus();
+    void upstreamChanged();
+
+    void tick();
+    void adjustTrees(TimePoint now);
+    void finishShutDown();
+
+    Environment m_environment;
+    EventLoop &m_loop;
+    Random m_random;
+    std::uint64_t m_incarnation;
+    CrashTracker m_crashes;
+    AccountAllowance m_accounts;
+    RetryAllowance m_retries;
+    TreeAdmission m_trees;
+    UpstreamRunner m_runner;
+    EntryPath m_entry;
+    CallerSession::Environment m_callerEnvironment;
+    AsyncListener m_callers;
+    AsyncListener m_peerListener;
+
+    std::shared_ptr<const RuleIndex> m_rules;
+    /** By the text of the peer address. */
+    std::map<std::string, std::shared_ptr<MeshLink>> m_peers;
+    /** Connections that other nodes made, with the tickets of their calls. */
+    std::map<Inbound, std::map<std::uint64_t, std::uint64_t>> m_inbound;
+    /** Work that nodes of a service reported for root routes since the last adjustment. */
+    TimePoint m_lastStatus{};
+    TimePoint m_lastAdjust{};
+    TimePoint m_lastRulesRequest{};
+    TimePoint m_rulesSince{};
+    bool m_directoryRead = false;
+    bool m_publishing = false;
+    bool m_publishAgain = false;
+    bool m_published = false;
+    bool m_closing = false;
+    TimePoint m_closingSince{};
+    std::size_t m_activeRequests = 0;
+};
+
+} // namespace Pimentohollow
--- a/modules/node/fleet/fleetnode.h
+++ b/modules/node/fleet/fleetnode.h
@@ -2,7 +2,7 @@
 
 #include "configuration/configuration.h"
 #include "node/node.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "runtime/runtime.h"
 
 namespace Pimentohollow
--- a/modules/configuration/parsing/fieldreader.cpp
+++ b/modules/parsing/fieldreader.cpp
@@ -1,4 +1,4 @@
-#include "configuration/parsing/fieldreader.h"
+#include "parsing/fieldreader.h"
 
 #include <fmt/format.h>
 
--- a/modules/configuration/parsing/fieldreader.h
+++ b/modules/parsing/fieldreader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "configuration/parsing/finding.h"
-#include "configuration/parsing/scalars.h"
+#include "parsing/finding.h"
+#include "parsing/scalars.h"
 #include "core/enumtable.h"
 
 #include <map>
--- a/modules/configuration/parsing/fieldwriter.h
+++ b/modules/parsing/fieldwriter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/parsing/scalars.h"
+#include "parsing/scalars.h"
 #include "core/enumtable.h"
 
 #include <type_traits>
--- a/modules/configuration/parsing/finding.cpp
+++ b/modules/parsing/finding.cpp
@@ -1,4 +1,4 @@
-#include "configuration/parsing/finding.h"
+#include "parsing/finding.h"
 
 #include <fmt/format.h>
 
--- a/modules/configuration/parsing/scalars.cpp
+++ b/modules/parsing/scalars.cpp
@@ -1,4 +1,4 @@
-#include "configuration/parsing/scalars.h"
+#include "parsing/scalars.h"
 
 #include <array>
 #include <charconv>
--- a/modules/configuration/parsing/textfile.cpp
+++ b/modules/parsing/textfile.cpp
@@ -1,4 +1,4 @@
-#include "configuration/parsing/textfile.h"
+#include "parsing/textfile.h"
 
 #include <fstream>
 #include <sstream>
--- a/modules/quota/shares/sharerow.h
+++ b/modules/quota/shares/sharerow.h
@@ -3,7 +3,7 @@
 #include "core/error.h"
 #include "core/names.h"
 #include "messages/gossip/gossipupdate.h"
-#include "platform/interfaces/tableservice.h"
+#include "storage/interfaces/tableservice.h"
 #include "quota/bucket/quotaledger.h"
 
 #include <array>
--- a/modules/runtime/tests/claimtasktest.cpp
+++ b/modules/runtime/tests/claimtasktest.cpp
@@ -1,7 +1,7 @@
 #include "runtime/claims/claimtask.h"
 #include "core/systemclock.h"
-#include "platform/memory/memoryobjectstore.h"
-#include "platform/memory/memorytableservice.h"
+#include "storage/memory/memoryobjectstore.h"
+#include "storage/memory/memorytableservice.h"
 
 #include <atomic>
 #include <gtest/gtest.h>
--- a/modules/runtime/tests/configurationtasktest.cpp
+++ b/modules/runtime/tests/configurationtasktest.cpp
@@ -1,8 +1,8 @@
 #include "runtime/configuration/configurationtask.h"
 #include "core/systemclock.h"
 #include "eventually.h"
-#include "platform/memory/memoryobjectstore.h"
-#include "platform/memory/memorytableservice.h"
+#include "storage/memory/memoryobjectstore.h"
+#include "storage/memory/memorytableservice.h"
 
 #include <gtest/gtest.h>
 
--- a/modules/runtime/tests/quotatasktest.cpp
+++ b/modules/runtime/tests/quotatasktest.cpp
@@ -1,7 +1,7 @@
 #include "runtime/quota/quotatask.h"
 #include "core/systemclock.h"
 #include "eventually.h"
-#include "platform/memory/memorytableservice.h"
+#include "storage/memory/memorytableservice.h"
 
 #include <gtest/gtest.h>
 
--- a/modules/platform/http/httpobjectstore.cpp
+++ b/modules/storage/http/httpobjectstore.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/httpobjectstore.h"
+#include "storage/http/httpobjectstore.h"
 
 #include <fmt/format.h>
 
--- a/modules/platform/http/httpobjectstore.h
+++ b/modules/storage/http/httpobjectstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/http/platformclient.h"
-#include "platform/interfaces/objectstore.h"
+#include "storage/http/platformclient.h"
+#include "storage/interfaces/objectstore.h"
 
 namespace Pimentohollow
 {
--- a/modules/platform/http/httptableservice.cpp
+++ b/modules/storage/http/httptableservice.cpp
@@ -1,7 +1,7 @@
-#include "platform/http/httptableservice.h"
+#include "storage/http/httptableservice.h"
 
-#include "platform/http/tablecodec.h"
-#include "platform/memory/memorytableservice.h"
+#include "storage/http/tablecodec.h"
+#include "storage/memory/memorytableservice.h"
 
 #include <algorithm>
 #include <array>
--- a/modules/platform/http/httptableservice.h
+++ b/modules/storage/http/httptableservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/http/platformclient.h"
-#include "platform/interfaces/tableservice.h"
+#include "storage/http/platformclient.h"
+#include "storage/interfaces/tableservice.h"
 
 namespace Pimentohollow
 {
--- a/modules/platform/http/platformclient.cpp
+++ b/modules/storage/http/platformclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/platformclient.h"
+#include "storage/http/platformclient.h"
 
 #include <fmt/format.h>
 #include <Poco/Net/HTTPRequest.h>
--- a/modules/platform/http/platformclient.h
+++ b/modules/storage/http/platformclient.h
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
-#include "platform/http/requestsigner.h"
+#include "storage/http/requestsigner.h"
 
 #include <chrono>
 #include <memory>
--- a/modules/platform/http/requestsigner.cpp
+++ b/modules/storage/http/requestsigner.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/requestsigner.h"
+#include "storage/http/requestsigner.h"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
--- a/modules/platform/http/tablecodec.cpp
+++ b/modules/storage/http/tablecodec.cpp
@@ -1,6 +1,6 @@
-#include "platform/http/tablecodec.h"
+#include "storage/http/tablecodec.h"
 
-#include "platform/http/requestsigner.h"
+#include "storage/http/requestsigner.h"
 
 #include <algorithm>
 #include <charconv>
--- a/modules/platform/http/tablecodec.h
+++ b/modules/storage/http/tablecodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/interfaces/tableservice.h"
+#include "storage/interfaces/tableservice.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
--- a/modules/platform/memory/faultinjector.cpp
+++ b/modules/storage/memory/faultinjector.cpp
@@ -1,4 +1,4 @@
-#include "platform/memory/faultinjector.h"
+#include "storage/memory/faultinjector.h"
 
 #include <algorithm>
 
--- a/modules/platform/memory/memoryobjectstore.cpp
+++ b/modules/storage/memory/memoryobjectstore.cpp
@@ -1,4 +1,4 @@
-#include "platform/memory/memoryobjectstore.h"
+#include "storage/memory/memoryobjectstore.h"
 
 namespace Pimentohollow
 {
--- a/modules/platform/memory/memoryobjectstore.h
+++ b/modules/storage/memory/memoryobjectstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/interfaces/objectstore.h"
-#include "platform/memory/faultinjector.h"
+#include "storage/interfaces/objectstore.h"
+#include "storage/memory/faultinjector.h"
 
 #include <map>
 #include <memory>
--- a/modules/platform/memory/memorytableservice.cpp
+++ b/modules/storage/memory/memorytableservice.cpp
@@ -1,4 +1,4 @@
-#include "platform/memory/memorytableservice.h"
+#include "storage/memory/memorytableservice.h"
 
 #include <fmt/format.h>
 #include <set>
--- a/modules/platform/memory/memorytableservice.h
+++ b/modules/storage/memory/memorytableservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/interfaces/tableservice.h"
-#include "platform/memory/faultinjector.h"
+#include "storage/interfaces/tableservice.h"
+#include "storage/memory/faultinjector.h"
 
 #include <deque>
 #include <map>
--- a/modules/platform/tests/platformclienttest.cpp
+++ b/modules/storage/tests/platformclienttest.cpp
@@ -1,5 +1,5 @@
 #include "core/systemclock.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "standins/platform/standinhandlers.h"
 #include "testcertificate.h"
 
--- a/modules/platform/tests/requestsignertest.cpp
+++ b/modules/storage/tests/requestsignertest.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/requestsigner.h"
+#include "storage/http/requestsigner.h"
 
 #include <gtest/gtest.h>
 
--- a/modules/platform/tests/tablecodectest.cpp
+++ b/modules/storage/tests/tablecodectest.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/tablecodec.h"
+#include "storage/http/tablecodec.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/testing/process/support/platformfleet.cpp
+++ b/testing/process/support/platformfleet.cpp
@@ -2,7 +2,7 @@
 
 #include "core/systemclock.h"
 #include "keys/keys.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include <filesystem>
 #include <fmt/format.h>
--- a/testing/standins/platform/standinhandlers.cpp
+++ b/testing/standins/platform/standinhandlers.cpp
@@ -1,8 +1,8 @@
 #include "standins/platform/standinhandlers.h"
 
-#include "platform/http/requestsigner.h"
-#include "platform/http/tablecodec.h"
 #include "standins/platform/standintable.h"
+#include "storage/http/requestsigner.h"
+#include "storage/http/tablecodec.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
--- a/testing/standins/platform/standinhandlers.h
+++ b/testing/standins/platform/standinhandlers.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/platform.h"
 #include "standins/platform/standinbehaviour.h"
+#include "storage/storage.h"
 
 #include <functional>
 #include <memory>
--- a/testing/standins/platform/standintable.cpp
+++ b/testing/standins/platform/standintable.cpp
@@ -1,6 +1,6 @@
 #include "standins/platform/standintable.h"
 
-#include "platform/http/tablecodec.h"
+#include "storage/http/tablecodec.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
--- a/testing/standins/platform/standintable.h
+++ b/testing/standins/platform/standintable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include <string>
 
