--- a/modules/mesh/callers/callersession.cpp
+++ b/modules/mesh/callers/callersession.cpp
@@ -63,7 +63,10 @@
         if (!ready && ready.error() == ReadFault::Timeout && !m_exchanges.empty()) {
             continue;
         }
-        if (!ready || m_ended || !readRequest()) {
+        m_receiving = true;
+        const bool more = ready && !m_ended && readRequest();
+        m_receiving = false;
+        if (!more) {
             break;
         }
         while (!m_ended && m_exchanges.size() >= MostExchanges) {
@@ -81,6 +84,15 @@
         }
     }
     m_connection.socket().close();
+    m_environment.ended(this);
+}
+
+void CallerSession::closeWhenIdle()
+{
+    if (m_exchanges.empty() && !m_receiving) {
+        m_ended = true;
+        m_connection.socket().close();
+    }
 }
 
 bool CallerSession::readRequest()
--- a/modules/mesh/callers/callersession.h
+++ b/modules/mesh/callers/callersession.h
@@ -27,11 +27,15 @@
         std::function<CallerBounds()> bounds;
         /** The node ends: answers close their connections. */
         std::function<bool()> closing;
+        /** The connection has ended. */
+        std::function<void(CallerSession *)> ended;
     };
 
     CallerSession(std::unique_ptr<AsyncSocket> socket, const Environment &environment);
 
     void start();
+    /** Closes the connection if no request is being read or served; otherwise it closes with the answer. */
+    void closeWhenIdle();
 
 private:
     struct Exchange {
@@ -60,6 +64,8 @@
     /** Where the reader waits until it may read on. */
     WaitPoint m_roomForMore;
     bool m_writing = false;
+    /** A request has begun to arrive. */
+    bool m_receiving = false;
     /** Nothing more is read: the caller has left, or got the last answer. */
     bool m_ended = false;
     /** The last answer was sent. */
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -85,10 +85,15 @@
                            },
                            [this] {
                                return m_closing;
+                           },
+                           [this](CallerSession *session) {
+                               m_sessions.erase(session);
                            } }
     , m_callers(m_loop,
                 [this](std::unique_ptr<AsyncSocket> socket) {
-                    std::make_shared<CallerSession>(std::move(socket), m_callerEnvironment)->start();
+                    const auto session = std::make_shared<CallerSession>(std::move(socket), m_callerEnvironment);
+                    m_sessions.insert(session.get());
+                    session->start();
                 })
     , m_peerListener(m_loop, [this](std::unique_ptr<AsyncSocket> socket) {
         acceptPeer(std::move(socket));
@@ -130,6 +135,13 @@
     m_loop.spawn([this] {
         finishShutDown();
     });
+    if (m_runner.departed().empty()) {
+        return;
+    }
+    m_loop.spawn([this, entry = ownEntry()] {
+        const auto withdrawn = m_environment.store.withdraw(entry);
+        Log.info("withdrawn", { { "result", withdrawn ? "ok" : withdrawn.error().describe() } });
+    });
 }
 
 bool MeshNode::isReady() const
@@ -589,17 +601,18 @@
 void MeshNode::finishShutDown()
 {
     const TimePoint latest = m_closingSince + m_environment.settings.shutdownGrace - ShutDownMargin;
-    constexpr std::chrono::milliseconds CheckInterval(50);
+    constexpr std::chrono::milliseconds CheckInterval(20);
+    m_loop.sleepUntil(m_closingSince + LeastShutDownTime);
+    // New callers find no listener and go to another node at once; a request that crosses the close of an idle connection was not read.
+    m_callers.close();
     while (m_loop.now() < latest) {
-        m_loop.sleepFor(CheckInterval);
-        const bool idle = m_activeRequests + m_runner.active() == 0;
-        if (idle && m_loop.now() - m_closingSince >= LeastShutDownTime) {
+        for (auto *it : std::set(m_sessions)) {
+            it->closeWhenIdle();
+        }
+        if (m_activeRequests + m_runner.active() == 0 && m_sessions.empty()) {
             break;
         }
-    }
-    if (!m_runner.departed().empty()) {
-        const auto withdrawn = m_environment.store.withdraw(ownEntry());
-        Log.info("withdrawn", { { "result", withdrawn ? "ok" : withdrawn.error().describe() } });
+        m_loop.sleepFor(CheckInterval);
     }
     Log.info("shutdown_finished", { { "active", std::to_string(m_activeRequests + m_runner.active()) } });
     m_loop.stop();
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -102,6 +102,7 @@
     EntryPath m_entry;
     CallerSession::Environment m_callerEnvironment;
     AsyncListener m_callers;
+    std::set<CallerSession *> m_sessions;
     AsyncListener m_peerListener;
 
     std::shared_ptr<const RuleIndex> m_rules;
