--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
+#include <utility>
 
 namespace Pimentohollow
 {
@@ -11,20 +11,33 @@
 {
 
 /** Time constant of the measured demand. */
-constexpr double DemandSeconds = 1.5;
+constexpr double DemandSeconds = 1.0;
 /** How long a silent node keeps its part; longer than the partitions that the users' platform announces. */
 constexpr std::chrono::seconds PeerMemory(15);
-/** Demand that every node is assumed to have, as a share of the limit divided by the nodes, so that a first request finds a token. */
+constexpr std::chrono::seconds PeerCheckInterval(1);
+/** Demand that every node is assumed to have, as a part of the average, so that a first request finds a token. */
 constexpr double BaseDemandShare = 0.1;
-/** Tokens of a node that has just started, in seconds of its part: it doesn't know what its predecessor spent. */
-constexpr double StartSeconds = 0.5;
-/** Every node may hold one whole token, whatever its part. */
-constexpr double LeastCapacity = 1;
+/** Part of the burst that a node assumes after its start: it doesn't know what was spent before. */
+constexpr double StartLevel = 0.3;
+/** Time for a report to arrive. */
+constexpr double DeliverySeconds = 0.03;
+/** Time in which unused tokens of a node's share are kept. */
+constexpr double ShareSeconds = 0.25;
+/** The rate is lowered by this part while the bucket is below zero, until it is paid back. */
+constexpr double Payback = 0.1;
+/** Part of the burst whose spending makes a report urgent. */
+constexpr double UrgentPart = 0.04;
+constexpr double UrgentLeast = 4;
 constexpr double LeastReportedDemand = 0.05;
 
-double seconds(Duration duration)
+double secondsOf(TimePoint time)
 {
-    return std::chrono::duration<double>(duration).count();
+    return std::chrono::duration<double>(time.time_since_epoch()).count();
+}
+
+double elapsedSeconds(TimePoint since, TimePoint now)
+{
+    return std::chrono::duration<double>(now - since).count();
 }
 
 } // namespace
@@ -34,82 +47,148 @@
     m_nodes = std::max<std::size_t>(1, nodes);
 }
 
-void AccountAllowance::reported(const NodeName &node, const std::vector<MeasuredDemand> &demand, TimePoint now)
+void AccountAllowance::reported(const NodeName &node, const std::vector<AccountSpending> &spending, TimePoint now)
 {
     auto &peer = m_peers[node];
     peer.heardAt = now;
-    peer.demand.clear();
-    for (const auto &it : demand) {
-        peer.demand[it.account] = it.rate;
+    const double nowSeconds = secondsOf(now);
+    auto before = std::exchange(peer.accounts, {});
+    for (const auto &it : spending) {
+        auto &account = m_accounts[it.account];
+        const auto found = before.find(it.account);
+        if (found != before.end()) {
+            // A lower count is that of a new process of the node.
+            const bool restarted = it.admitted < found->second.admitted;
+            account.level -= restarted ? it.admitted : it.admitted - found->second.admitted;
+            forget(account, found->second);
+            before.erase(found);
+        }
+        account.othersDemand += it.demand;
+        account.othersDemandSeconds += it.demand * nowSeconds;
+        peer.accounts[it.account] = { it.demand, nowSeconds, it.admitted };
+    }
+    for (auto &[name, old] : before) {
+        // Not reported any more: no demand. The count is kept for the next report.
+        forget(m_accounts[name], old);
+        peer.accounts[name] = { 0, nowSeconds, old.admitted };
     }
 }
 
-std::optional<Duration> AccountAllowance::admit(const AccountName &account, const AccountLimit &limit, TimePoint now)
+std::optional<Duration> AccountAllowance::admit(const AccountName &name, const AccountLimit &limit, TimePoint now)
 {
-    auto &local = m_local[account];
-    measure(local, 1, now);
+    auto &account = refreshed(name, limit, now);
+    measure(account, 1, now);
     if (limit.ratePerSecond <= 0) {
         return std::nullopt;
     }
-    const double part = share(account, now);
-    const double rate = limit.ratePerSecond * part;
-    const double capacity = std::max(limit.burst * part, LeastCapacity);
-    if (!local.started) {
-        local.started = true;
-        local.tokens = std::max(rate * StartSeconds, LeastCapacity);
-    } else {
-        local.tokens += rate * seconds(now - local.filledAt);
+    const double part = share(account);
+    const double rate = limit.ratePerSecond * part * (account.level < 0 ? 1 - Payback : 1);
+    account.shareTokens = std::min(std::max(1.0, rate * ShareSeconds), account.shareTokens + rate * elapsedSeconds(account.shareAt, now));
+    account.shareAt = now;
+    const bool free = account.level - unseenSpending(account, now) >= 1;
+    if (!free && account.shareTokens < 1) {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1 - account.shareTokens) / std::max(rate, 0.01)));
     }
-    local.tokens = std::min(local.tokens, capacity);
-    local.filledAt = now;
-    if (local.tokens >= 1) {
-        local.tokens -= 1;
-        return std::nullopt;
-    }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1 - local.tokens) / std::max(rate, 0.001)));
+    account.level -= 1;
+    account.shareTokens = std::max(0.0, account.shareTokens - 1);
+    ++account.admitted;
+    m_urgent = m_urgent || account.admitted - account.admittedAtReport > std::max(UrgentLeast, limit.burst * UrgentPart);
+    return std::nullopt;
 }
 
-std::vector<MeasuredDemand> AccountAllowance::demand(TimePoint now)
+std::vector<AccountSpending> AccountAllowance::takeReport(TimePoint now)
 {
-    std::vector<MeasuredDemand> result;
-    for (auto &[account, local] : m_local) {
-        measure(local, 0, now);
-        if (local.demand >= LeastReportedDemand) {
-            result.push_back({ account, local.demand });
+    m_urgent = false;
+    std::vector<AccountSpending> result;
+    for (auto &[name, account] : m_accounts) {
+        measure(account, 0, now);
+        account.admittedAtReport = account.admitted;
+        if (account.demand >= LeastReportedDemand) {
+            result.push_back({ name, account.demand, account.admitted });
         }
     }
     return result;
 }
 
-double AccountAllowance::share(const AccountName &account, TimePoint now)
+double AccountAllowance::share(const AccountName &name, TimePoint now)
+{
+    auto &account = m_accounts[name];
+    measure(account, 0, now);
+    return share(account);
+}
+
+AccountAllowance::Account &AccountAllowance::refreshed(const AccountName &name, const AccountLimit &limit, TimePoint now)
+{
+    removeSilentPeers(now);
+    auto &account = m_accounts[name];
+    if (!account.started) {
+        account.started = true;
+        account.level += limit.burst * StartLevel;
+        account.shareAt = now;
+        account.shareTokens = 1;
+        account.levelAt = now;
+    }
+    account.limit = limit;
+    account.level = std::min(limit.burst, account.level + limit.ratePerSecond * elapsedSeconds(account.levelAt, now));
+    account.levelAt = now;
+    return account;
+}
+
+void AccountAllowance::measure(Account &account, double count, TimePoint now)
+{
+    const double elapsed = elapsedSeconds(account.demandAt, now);
+    account.demand = account.demand * std::exp(-elapsed / DemandSeconds) + count / DemandSeconds;
+    account.demandAt = now;
+}
+
+void AccountAllowance::forget(Account &account, const PeerAccount &peer)
 {
-    auto &local = m_local[account];
-    measure(local, 0, now);
-    double others = 0;
-    std::size_t heard = 0;
+    account.othersDemand = std::max(0.0, account.othersDemand - peer.demand);
+    account.othersDemandSeconds -= peer.demand * peer.atSeconds;
+}
+
+double AccountAllowance::othersDemand(const Account &account) const
+{
+    // Nodes that weren't heard yet are assumed to have the demand that this one has.
+    return account.othersDemand + account.demand * static_cast<double>(unheardNodes());
+}
+
+double AccountAllowance::unseenSpending(const Account &account, TimePoint now) const
+{
+    const double reported = account.othersDemand * (secondsOf(now) + DeliverySeconds) - account.othersDemandSeconds;
+    return std::max(0.0, reported) + account.demand * static_cast<double>(unheardNodes()) * ShareSeconds;
+}
+
+double AccountAllowance::share(const Account &account) const
+{
+    const auto nodes = static_cast<double>(std::max(m_nodes, m_peers.size() + 1));
+    const double total = account.demand + othersDemand(account);
+    const double base = std::max(total, 1.0) * BaseDemandShare / nodes;
+    return (account.demand + base) / (total + base * nodes);
+}
+
+void AccountAllowance::removeSilentPeers(TimePoint now)
+{
+    if (now < m_nextPeerCheck) {
+        return;
+    }
+    m_nextPeerCheck = now + PeerCheckInterval;
     for (auto it = m_peers.begin(); it != m_peers.end();) {
-        if (now - it->second.heardAt > PeerMemory) {
-            it = m_peers.erase(it);
+        if (now - it->second.heardAt <= PeerMemory) {
+            ++it;
             continue;
         }
-        const auto found = it->second.demand.find(account);
-        others += found == it->second.demand.end() ? 0 : found->second;
-        ++heard;
-        ++it;
+        for (const auto &[name, peer] : it->second.accounts) {
+            forget(m_accounts[name], peer);
+        }
+        it = m_peers.erase(it);
     }
-    const std::size_t nodes = std::max(m_nodes, heard + 1);
-    // Nodes that weren't heard yet are assumed to have the demand that this one has.
-    others += local.demand * static_cast<double>(nodes - 1 - heard);
-    const double total = local.demand + others;
-    const double base = std::max(total, 1.0) * BaseDemandShare / static_cast<double>(nodes);
-    return (local.demand + base) / (total + base * static_cast<double>(nodes));
 }
 
-void AccountAllowance::measure(Local &local, double count, TimePoint now)
+std::size_t AccountAllowance::unheardNodes() const
 {
-    const double elapsed = seconds(now - local.measuredAt);
-    local.demand = local.demand * std::exp(-elapsed / DemandSeconds) + count / DemandSeconds;
-    local.measuredAt = now;
+    const std::size_t known = m_peers.size() + 1;
+    return m_nodes > known ? m_nodes - known : 0;
 }
 
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -15,20 +15,29 @@
 struct AccountLimit {
     double ratePerSecond = 0;
     double burst = 0;
+
+    bool operator==(const AccountLimit &) const = default;
 };
 
-/** Demand for one account, in requests per second. */
-struct MeasuredDemand {
+/** What one node did for one account. */
+struct AccountSpending {
     AccountName account;
-    double rate = 0;
+    /** Requests per second that were asked for, admitted or not. */
+    double demand = 0;
+    /** Requests admitted since the node started. */
+    std::uint32_t admitted = 0;
 };
 
 /**
- * This node's part of each client account's rate and burst: the account's limit times this node's share of the demand that all nodes
- * report.
+ * Keeps each client account to its rate and burst over the whole fleet, with what the nodes tell each other a few times a second.
+ *
+ * Each node keeps a copy of the account's bucket, from which it takes what it admits itself and what the others report. While the bucket
+ * holds more than the others may have taken since their last reports, requests are admitted freely, so that uneven arrivals find the whole
+ * burst and not a small part of it. Otherwise a node admits its share of the rate, by the demand that all nodes report. The shares add up
+ * to the rate whatever the demand does; what was admitted too much is paid back.
  *
- * The load it answers: one account sends several times its rate to all nodes at once. The parts add up to the limit whatever the demand
- * does; a node that can't be heard keeps its part for a while, so that a partition doesn't grant it twice. Not thread-safe, no clock.
+ * The load it answers: one account sends several times its rate to all nodes at once, while the others arrive in clumps within theirs. A
+ * node that can't be heard is taken to spend its share, so that a partition doesn't grant it twice. Not thread-safe, no clock.
  */
 class AccountAllowance
 {
@@ -36,34 +45,63 @@
     /** @param nodes known to the directory, this one included */
     void setNodes(std::size_t nodes);
     /** Takes what another node reported. */
-    void reported(const NodeName &node, const std::vector<MeasuredDemand> &demand, TimePoint now);
+    void reported(const NodeName &node, const std::vector<AccountSpending> &spending, TimePoint now);
 
     /** Counts the request and decides on it: nothing if it is admitted, or when to come back. */
     std::optional<Duration> admit(const AccountName &account, const AccountLimit &limit, TimePoint now);
-    /** The demand at this node, for the other nodes; accounts without any are left out. */
-    std::vector<MeasuredDemand> demand(TimePoint now);
+    /** What this node did, for the others; accounts without demand are left out. */
+    std::vector<AccountSpending> takeReport(TimePoint now);
+    /** So much was admitted since the last report that the others should know at once. */
+    bool reportIsUrgent() const
+    {
+        return m_urgent;
+    }
 
-    /** This node's share of @p account, 0 to 1. */
+    /** This node's share of the demand for @p account, 0 to 1. */
     double share(const AccountName &account, TimePoint now);
 
 private:
-    struct Local {
-        /** Requests per second, a moving average. */
-        double demand = 0;
-        TimePoint measuredAt{};
-        double tokens = 0;
-        TimePoint filledAt{};
+    struct Account {
+        AccountLimit limit;
+        /** Tokens of the fleet's bucket, by this node's knowledge; negative if too much was admitted. */
+        double level = 0;
+        TimePoint levelAt{};
         bool started = false;
+        /** This node's requests per second, a moving average. */
+        double demand = 0;
+        TimePoint demandAt{};
+        std::uint32_t admitted = 0;
+        std::uint32_t admittedAtReport = 0;
+        /** Tokens of this node's share, for the time when the bucket is empty. */
+        double shareTokens = 0;
+        TimePoint shareAt{};
+        /** Sum of the demands that other nodes reported, and of the demands times the seconds at which they were reported. */
+        double othersDemand = 0;
+        double othersDemandSeconds = 0;
+    };
+    struct PeerAccount {
+        double demand = 0;
+        double atSeconds = 0;
+        std::uint32_t admitted = 0;
     };
     struct Peer {
         TimePoint heardAt{};
-        std::unordered_map<AccountName, double> demand;
+        std::unordered_map<AccountName, PeerAccount> accounts;
     };
 
-    void measure(Local &local, double count, TimePoint now);
+    Account &refreshed(const AccountName &account, const AccountLimit &limit, TimePoint now);
+    static void measure(Account &account, double count, TimePoint now);
+    void forget(Account &account, const PeerAccount &peer);
+    double othersDemand(const Account &account) const;
+    double unseenSpending(const Account &account, TimePoint now) const;
+    double share(const Account &account) const;
+    void removeSilentPeers(TimePoint now);
+    std::size_t unheardNodes() const;
 
     std::size_t m_nodes = 1;
-    std::unordered_map<AccountName, Local> m_local;
+    bool m_urgent = false;
+    TimePoint m_nextPeerCheck{};
+    std::unordered_map<AccountName, Account> m_accounts;
     std::unordered_map<NodeName, Peer> m_peers;
 };
 
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -160,11 +160,13 @@
     AccountName account;
     /** Requests per second in tenths, admitted or not. */
     std::uint32_t deciRate = 0;
+    /** Requests admitted since the node started. */
+    std::uint32_t admitted = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(account, deciRate);
+        archive(account, deciRate, admitted);
     }
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -440,7 +440,7 @@
     m_inbound.emplace(connection, std::map<std::uint64_t, std::uint64_t>());
     connection->start();
     connection->send(HelloFrame{ ownEntry() });
-    connection->send(makeStatus(m_loop.now()));
+    connection->send(makeStatus());
 }
 
 void MeshNode::handleInbound(const Inbound &connection, MeshFrame &&frame)
@@ -497,12 +497,12 @@
     const TimePoint now = m_loop.now();
     link.setLoad(status.load);
     constexpr double Tenths = 10;
-    std::vector<MeasuredDemand> demand;
-    demand.reserve(status.demand.size());
+    std::vector<AccountSpending> spending;
+    spending.reserve(status.demand.size());
     for (const auto &it : status.demand) {
-        demand.push_back({ it.account, it.deciRate / Tenths });
+        spending.push_back({ it.account, it.deciRate / Tenths, it.admitted });
     }
-    m_accounts.reported(link.entry().node, demand, now);
+    m_accounts.reported(link.entry().node, spending, now);
     constexpr double Milli = 1000;
     for (const auto &it : status.work) {
         m_trees.learnWork(it.rootRoute, link.entry().service, it.milliSlots / Milli, now);
@@ -516,15 +516,11 @@
     }
 }
 
-StatusFrame MeshNode::makeStatus(TimePoint now)
+StatusFrame MeshNode::makeStatus()
 {
     StatusFrame status;
     status.rulesVersion = rulesVersion();
     status.load = m_runner.load();
-    constexpr double Tenths = 10;
-    for (const auto &it : m_accounts.demand(now)) {
-        status.demand.push_back({ it.account, static_cast<std::uint32_t>(it.rate * Tenths) });
-    }
     return status;
 }
 
@@ -532,7 +528,11 @@
 {
     const TimePoint now = m_loop.now();
     m_lastStatus = now;
-    StatusFrame status = makeStatus(now);
+    StatusFrame status = makeStatus();
+    constexpr double Tenths = 10;
+    for (const auto &it : m_accounts.takeReport(now)) {
+        status.demand.push_back({ it.account, static_cast<std::uint32_t>(it.demand * Tenths), it.admitted });
+    }
     status.work = m_runner.takeWork(now);
     for (const auto &it : status.work) {
         constexpr double Milli = 1000;
@@ -559,7 +559,7 @@
         m_loop.sleepFor(TickInterval);
         const TimePoint now = m_loop.now();
         m_runner.tick();
-        if (now - m_lastStatus >= statusInterval()) {
+        if (now - m_lastStatus >= statusInterval() || m_accounts.reportIsUrgent()) {
             sendStatus();
         }
         for (const auto &[key, link] : std::map(m_peers)) {
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -82,7 +82,7 @@
     void runForPeer(const Inbound &connection, RunFrame &&frame);
     void handleStatus(MeshLink &link, const StatusFrame &status);
     void handlePeerFrame(MeshLink &link, MeshFrame &&frame);
-    StatusFrame makeStatus(TimePoint now);
+    StatusFrame makeStatus();
     void sendStatus();
     void upstreamChanged();
 
