--- a/modules/mesh/callers/callersession.cpp
+++ b/modules/mesh/callers/callersession.cpp
@@ -95,6 +95,12 @@
     }
 }
 
+void CallerSession::abort()
+{
+    cancelAll();
+    m_connection.socket().reset();
+}
+
 bool CallerSession::readRequest()
 {
     const RequestLimits limits = limitsOf(m_environment.bounds());
--- a/modules/mesh/callers/callersession.h
+++ b/modules/mesh/callers/callersession.h
@@ -36,6 +36,8 @@
     void start();
     /** Closes the connection if no request is being read or served; otherwise it closes with the answer. */
     void closeWhenIdle();
+    /** Resets the connection and cancels what it asked for. */
+    void abort();
 
 private:
     struct Exchange {
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -149,14 +149,39 @@
     if (m_closing || !m_rules) {
         return false;
     }
-    const TimePoint now = m_loop.now();
-    if (now - m_rulesSince > LinkTime) {
+    if (m_loop.now() - m_rulesSince > LinkTime) {
         return true;
     }
-    const auto open = std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &it) {
+    return m_directoryRead && reachablePeers() * 2 >= m_peers.size();
+}
+
+std::size_t MeshNode::reachablePeers() const
+{
+    const TimePoint now = m_loop.now();
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &it) {
         return it.second->isReachable(now, suspectSilence());
-    });
-    return m_directoryRead && static_cast<std::size_t>(open) * 2 >= m_peers.size();
+    }));
+}
+
+void MeshNode::abandon()
+{
+    m_closing = true;
+    m_callers.close();
+    m_peerListener.close();
+    for (auto *it : std::set(m_sessions)) {
+        it->abort();
+    }
+    for (const auto &[connection, calls] : m_inbound) {
+        connection->close();
+        for (const auto &[call, ticket] : calls) {
+            m_runner.cancel(ticket);
+        }
+    }
+    m_inbound.clear();
+    for (const auto &[key, link] : m_peers) {
+        link->stop();
+    }
+    m_runner.close();
 }
 
 bool MeshNode::depart(const std::string &upstreamId)
@@ -615,7 +640,7 @@
         m_loop.sleepFor(CheckInterval);
     }
     Log.info("shutdown_finished", { { "active", std::to_string(m_activeRequests + m_runner.active()) } });
-    m_loop.stop();
+    m_environment.ended();
 }
 
 } // namespace Pimentohollow
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -28,6 +28,8 @@
         HeaderNames headers;
         FleetStore &store;
         MetricRegistry &metrics;
+        /** The node has ended after shutDown(). */
+        std::function<void()> ended;
     };
 
     explicit MeshNode(Environment environment);
@@ -35,9 +37,15 @@
 
     /** Opens the listeners and starts to follow the store. Errors: Unavailable if an address can't be bound. */
     Result<void> start();
-    /** Stops taking new work, ends when the accepted work is done, and stops the loop; at the latest within the grace of the settings. */
+    /** Stops taking new work, ends when the accepted work is done; at the latest within the grace of the settings. */
     void shutDown();
 
+    /** Closes all listeners and connections at once, as the end of the process would; for tests. */
+    void abandon();
+
+    /** Nodes that answer now. */
+    std::size_t reachablePeers() const;
+
     /** Rules are known, the way to other nodes is open, and the node isn't ending. */
     bool isReady() const;
 
--- /dev/null
+++ b/testing/standins/mesh/scriptedupstream.cpp
@@ -0,0 +1,143 @@
+#include "standins/mesh/scriptedupstream.h"
+
+#include "http/reading/requestreader.h"
+#include "http/server/messagewriter.h"
+
+#include <algorithm>
+
+namespace Pimentohollow::Testing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t ServiceUnavailable = 503;
+constexpr std::uint16_t Misdirected = 421;
+constexpr Duration LongSilence = 1h;
+constexpr Duration IdleTime = 10s;
+
+} // namespace
+
+ScriptedUpstream::ScriptedUpstream(EventLoop &loop, HeaderNames headers, std::string id)
+    : m_loop(loop)
+    , m_headers(std::move(headers))
+    , m_id(std::move(id))
+    , m_listener(loop, [this](std::unique_ptr<AsyncSocket> socket) {
+        auto connection = std::make_shared<HttpConnection>(std::move(socket));
+        m_connections.push_back(connection);
+        m_loop.spawn([this, connection] {
+            serve(connection);
+        });
+    })
+{
+}
+
+ScriptedUpstream::~ScriptedUpstream() = default;
+
+Result<void> ScriptedUpstream::listen(const IpEndpoint &address)
+{
+    return m_listener.listen(address);
+}
+
+void ScriptedUpstream::close()
+{
+    m_listener.close();
+    for (const auto &it : m_connections) {
+        if (const auto connection = it.lock()) {
+            connection->socket().reset();
+        }
+    }
+    m_connections.clear();
+}
+
+std::size_t ScriptedUpstream::runsOf(const std::string &requestId) const
+{
+    return static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [&](const UpstreamRun &it) {
+        const auto *id = findHeader(it.request.headers, m_headers.requestId);
+        return id != nullptr && *id == requestId;
+    }));
+}
+
+void ScriptedUpstream::serve(const std::shared_ptr<HttpConnection> &connection)
+{
+    const RequestLimits limits;
+    while (connection->stream().waitForData(m_loop.clock().now() + IdleTime)) {
+        RequestReader reader(connection->stream(), limits, [] {});
+        const auto received = reader.read();
+        if (!received) {
+            return;
+        }
+        const auto script = m_script ? m_script(received->message) : UpstreamScript{};
+        if (script.act == UpstreamAct::Refuse || script.act == UpstreamAct::Misdirect) {
+            HttpResponseMessage response;
+            response.status = script.act == UpstreamAct::Refuse ? ServiceUnavailable : Misdirected;
+            response.headers.push_back({ m_headers.notRun, "1" });
+            response.headers.push_back({ m_headers.upstreamId, m_id });
+            if (!connection->socket().writeAll(serializeResponse(response, true, false), m_loop.clock().now() + IdleTime)) {
+                return;
+            }
+            continue;
+        }
+        m_runs.push_back({ received->message, m_loop.now(), std::nullopt, false });
+        auto &run = m_runs.back();
+        m_mostRunning = std::max(m_mostRunning, ++m_running);
+        const bool goesOn = act(*connection, received->message, script, run);
+        --m_running;
+        run.endedAt = m_loop.clock().now();
+        if (!goesOn) {
+            return;
+        }
+    }
+}
+
+bool ScriptedUpstream::act(HttpConnection &connection, const HttpRequestMessage &request, const UpstreamScript &script, UpstreamRun &run)
+{
+    const TimePoint end = m_loop.clock().now() + (script.act == UpstreamAct::Silence ? LongSilence : script.runTime);
+    // The stream has nothing to read until the next request, so that data or an end before it means that the caller has left.
+    const auto early = connection.stream().waitForData(end);
+    if (early || early.error() != ReadFault::Timeout) {
+        run.abandoned = true;
+        return false;
+    }
+    const TimePoint deadline = m_loop.clock().now() + IdleTime;
+    const std::string bytes = answerBytes(request, script);
+    switch (script.act) {
+    case UpstreamAct::Answer:
+        return connection.socket().writeAll(bytes, deadline).has_value();
+    case UpstreamAct::AnswerTwice:
+        return connection.socket().writeAll(bytes + bytes, deadline).has_value();
+    case UpstreamAct::AnswerWithoutLength: {
+        std::string open = bytes;
+        const auto start = open.find("Content-Length");
+        open.erase(start, open.find("\r\n", start) + 2 - start);
+        (void)connection.socket().writeAll(open, deadline);
+        connection.socket().close();
+        return false;
+    }
+    case UpstreamAct::BreakOff:
+        (void)connection.socket().writeAll(std::string_view(bytes).substr(0, bytes.size() - 3), deadline);
+        connection.socket().close();
+        return false;
+    case UpstreamAct::Garbage:
+        (void)connection.socket().writeAll("\x01\x02 no answer\r\n\r\n", deadline);
+        return true;
+    default:
+        connection.socket().reset();
+        return false;
+    }
+}
+
+std::string ScriptedUpstream::answerBytes(const HttpRequestMessage &request, const UpstreamScript &script) const
+{
+    HttpResponseMessage response;
+    response.status = script.status;
+    const auto *id = findHeader(request.headers, m_headers.requestId);
+    response.headers.push_back({ m_headers.requestId, id == nullptr ? "" : *id });
+    response.headers.push_back({ m_headers.stamp, "stamp-of-" + m_id });
+    response.body = "answer to " + request.target;
+    return serializeResponse(response, true, false);
+}
+
+} // namespace Pimentohollow::Testing
