Divide the slots below the trees among ranks by learned work

Ruled out: the placement (one upstream left) and the store. Answers now carry the work of their trees; entry nodes multiply it with the arrivals by rank and tell each other; all divide the slots the same way.

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -2,6 +2,7 @@
 
 #include "core/logger.h"
 #include "http/rules/hopbyhop.h"
+#include "mesh/decisions/requestrank.h"
 
 #include <algorithm>
 #include <charconv>
@@ -109,14 +110,11 @@
     }
     entry.deadline = entry.arrivedAt + allowed;
     entry.origin.rootRoute = entry.route->name;
-    entry.origin.rank = entry.route->rank;
-    if (entry.account != nullptr) {
-        if (entry.account->rank != TrafficAccount::NoRank) {
-            entry.origin.rank = entry.account->rank;
-        }
-    } else if (asked) {
-        if (const auto origin = m_environment.runner.originOfCall(entry.arrivedAt + *asked)) {
-            entry.origin = *origin;
+    entry.origin.rank = requestRank(*entry.route, entry.account);
+    if (entry.account == nullptr && asked) {
+        if (const auto parent = m_environment.runner.parentOfCall(entry.arrivedAt + *asked)) {
+            entry.origin = parent->origin;
+            entry.parent = parent->ticket;
         }
     }
     entry.fingerprint = RequestFingerprint::of(AccountName(entry.account == nullptr ? "" : entry.account->name.text()),
@@ -143,16 +141,17 @@
             return refuse(entry, TooManyRequests, "rate_exceeded", *wait);
         }
     }
-    if (!entry.origin.inner) {
-        if (const auto wait = m_environment.trees.admit(entry.route->name, entry.origin.rank, now)) {
-            return refuse(entry, ServiceUnavailable, "tree_shed", *wait);
-        }
-    }
     const auto *service = m_split.next(*entry.route);
     if (service == nullptr) {
         return refuse(entry, ServiceUnavailable, "no_service", UsualReturn);
     }
     entry.service = *service;
+    entry.tree = RouteName(entry.route->name.text() + '/' + service->text());
+    if (!entry.origin.inner) {
+        if (const auto wait = m_environment.trees.admit(entry.tree, entry.origin.rank, now)) {
+            return refuse(entry, ServiceUnavailable, "tree_shed", *wait);
+        }
+    }
     m_environment.retries.recordRequest(entry.service, now);
     if (entry.origin.repeat) {
         m_environment.retries.charge(entry.service, now);
@@ -265,7 +264,7 @@
             m_environment.metrics.counter("pimentohollow_impatient_repeats_total").add();
             state->pending = nullptr;
             way.link ? way.link->cancel(call) : m_environment.runner.cancel(call);
-            return { RunOutcome::TimedOut, 0, {} };
+            return withoutAnswer(RunOutcome::TimedOut);
         }
     }
     state->pending = nullptr;
@@ -273,7 +272,7 @@
         return std::move(*state->result);
     }
     way.link ? way.link->cancel(call) : m_environment.runner.cancel(call);
-    return { RunOutcome::TimedOut, 0, {} };
+    return withoutAnswer(RunOutcome::TimedOut);
 }
 
 bool EntryPath::mayRepeat(const Entry &entry, const Attempts &attempts)
@@ -354,9 +353,15 @@
 
 void EntryPath::learn(const Entry &entry, const RunReply &result, TimePoint startedAt)
 {
+    if (entry.parent != 0) {
+        m_environment.runner.addCallWork(entry.parent, result.work);
+    }
     if (result.outcome != RunOutcome::Answered || result.response.status >= FirstServerError) {
         return;
     }
+    if (!entry.origin.inner) {
+        m_environment.trees.learn(entry.tree, result.work);
+    }
     const double seconds = std::chrono::duration<double>(m_environment.loop.clock().now() - startedAt).count();
     auto &mean = m_answerSeconds[entry.route->name];
     mean = mean == 0 ? seconds : mean + AnswerWeight * (seconds - mean);
--- a/modules/mesh/callers/entrypath.h
+++ b/modules/mesh/callers/entrypath.h
@@ -65,7 +65,11 @@
         TimePoint arrivedAt{};
         TimePoint deadline{};
         CallOrigin origin;
+        /** The request for which the upstream beside this node makes the call; 0 for a request from a caller. */
+        std::uint64_t parent = 0;
         ServiceName service;
+        /** The route with the service chosen for the request: what admission learns work for. */
+        RouteName tree;
         RequestFingerprint fingerprint;
     };
 
--- a/modules/mesh/decisions/slotqueue.h
+++ b/modules/mesh/decisions/slotqueue.h
@@ -51,8 +51,8 @@
  *
  * The load it answers: a service at the bottom of the call trees that gets one and a half times what it can do, where an upstream that is
  * sent more than its slots stops answering. Requests wait here, where they can still be refused as not run. Calls of trees that have
- * started go before new roots one rank above them, because refusing them wastes the work of the whole tree. A request that can't be
- * finished in time by the run times measured so far is refused at once. Not thread-safe, no clock.
+ * started go before new roots of a route one rank above theirs, because refusing them wastes the work of the whole tree. A request that
+ * can't be finished in time by the run times measured so far is refused at once. Not thread-safe, no clock.
  */
 class SlotQueue
 {
--- a/modules/mesh/decisions/treeadmission.cpp
+++ b/modules/mesh/decisions/treeadmission.cpp
@@ -1,6 +1,7 @@
 #include "mesh/decisions/treeadmission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Pimentohollow
 {
@@ -8,94 +9,192 @@
 namespace
 {
 
-/** Ranks that are told apart; less urgent ones are taken together. */
-constexpr double Ranks = 3;
-/** The most urgent rank always keeps this share: its refusals at the service itself are then few. */
-constexpr double LeastLevel = 0.3;
-/** Waits above this mean overload, waits below the other one room. */
-constexpr std::chrono::milliseconds LongWait(30);
-constexpr std::chrono::milliseconds ShortWait(8);
-/** Wait at which the level falls fastest. */
-constexpr std::chrono::milliseconds SevereWait(200);
-/** Change of the level per adjustment. */
-constexpr double SmallestFall = 0.04;
-constexpr double GreatestFall = 0.25;
-constexpr double Rise = 0.03;
-/** Slots that a route must keep busy to count as reaching a service. */
-constexpr double LeastBusySlots = 0.02;
-/** How long a service counts as reached after its last report. */
-constexpr std::chrono::seconds ReachMemory(20);
-/** Return of a refused caller: from this time on, longer for less urgent ranks. */
+/** Part of the slots that admitted trees may keep busy on average; the rest takes up the unevenness of arrivals. */
+constexpr double UsedPart = 0.92;
+/** The factor on top of it falls while requests wait longer than the one, and rises while they wait less than the other. */
+constexpr std::chrono::milliseconds LongWait(40);
+constexpr std::chrono::milliseconds ShortWait(10);
+constexpr double TrimFall = 0.02;
+constexpr double TrimRise = 0.01;
+constexpr double LeastTrim = 0.6;
+constexpr double GreatestTrim = 1.1;
+/** Weight of one answer in the learned work. */
+constexpr double WorkWeight = 0.03;
+constexpr double MicrosecondsPerSecond = 1e6;
+/** Work below this doesn't make a tree depend on a service. */
+constexpr double LeastWorkSeconds = 0.0005;
+/** Time constant of the measured arrivals. */
+constexpr double ArrivalSeconds = 0.8;
+/** How long the demand of a silent node counts. */
+constexpr std::chrono::seconds PeerMemory(3);
+/** Demand is told to others from this use of a service on; below, nothing is shed whatever they know. */
+constexpr double ReportedUse = 0.5;
+/** Share that is admitted in any case, so that a change of the trees or of the capacity is noticed. */
+constexpr double LeastShare = 0.02;
+/** Returns of refused callers: from the shortest on, spread over a time that grows with the share that is refused. */
 constexpr std::chrono::milliseconds ShortestReturn(250);
+constexpr std::chrono::milliseconds ReturnSpread(1200);
+
+std::size_t indexOf(std::uint32_t rank)
+{
+    return std::min<std::size_t>(rank, AdmissionRanks - 1);
+}
 
 } // namespace
 
-TreeAdmission::TreeAdmission(Random &random)
-    : m_random(random)
+void TreeAdmission::learn(const RouteName &route, const std::vector<ServiceWork> &work)
 {
+    auto &known = m_work[route];
+    const bool first = known.empty();
+    std::map<ServiceName, double> sums;
+    for (const auto &it : work) {
+        sums[it.service] += it.microseconds / MicrosecondsPerSecond;
+    }
+    for (auto &[service, seconds] : known) {
+        sums.try_emplace(service, 0);
+    }
+    for (const auto &[service, seconds] : sums) {
+        auto &mean = known[service];
+        mean += (first ? 1 : WorkWeight) * (seconds - mean);
+    }
 }
 
-void TreeAdmission::learnWork(const RouteName &route, const ServiceName &service, double busySlots, TimePoint now)
+void TreeAdmission::reported(const NodeName &node, const std::map<ServiceName, RankDemand> &demand, TimePoint now)
 {
-    if (busySlots >= LeastBusySlots) {
-        m_reached[route][service] = now;
-    }
+    m_peers[node] = { now, demand };
 }
 
-void TreeAdmission::setWait(const ServiceName &service, Duration wait)
+void TreeAdmission::setCapacity(const ServiceName &service, const ServiceCapacity &capacity)
 {
     auto &it = m_services[service];
-    it.wait = wait;
-    if (!it.started) {
-        it.started = true;
-        it.level = Ranks;
-    }
+    it.capacity = capacity;
+    it.set = true;
 }
 
 void TreeAdmission::adjust(TimePoint now)
 {
-    for (auto &[name, it] : m_services) {
-        if (it.wait > LongWait) {
-            const double severity = std::clamp(std::chrono::duration<double>(it.wait - LongWait) / (SevereWait - LongWait), 0.0, 1.0);
-            it.level -= SmallestFall + severity * (GreatestFall - SmallestFall);
-        } else if (it.wait < ShortWait) {
-            it.level += Rise;
+    measureArrivals(now);
+    sumDemand(now);
+    for (auto &[name, service] : m_services) {
+        if (!service.set) {
+            service.capacity = {};
         }
-        it.level = std::clamp(it.level, LeastLevel, Ranks);
-    }
-    for (auto &[route, services] : m_reached) {
-        std::erase_if(services, [now](const auto &it) {
-            return now - it.second > ReachMemory;
-        });
+        service.set = false;
+        if (service.capacity.wait > LongWait) {
+            service.trim -= TrimFall;
+        } else if (service.capacity.wait < ShortWait) {
+            service.trim += TrimRise;
+        }
+        service.trim = std::clamp(service.trim, LeastTrim, GreatestTrim);
+        divide(service);
     }
 }
 
 std::optional<Duration> TreeAdmission::admit(const RouteName &route, std::uint32_t rank, TimePoint /*now*/)
 {
-    const auto found = m_reached.find(route);
-    if (found == m_reached.end()) {
+    const std::size_t index = indexOf(rank);
+    m_arrivals[route].counts[index] += 1;
+    const auto found = m_work.find(route);
+    if (found == m_work.end()) {
         return std::nullopt;
     }
     double share = 1;
-    for (const auto &[service, seenAt] : found->second) {
-        share = std::min(share, admittedShare(service, rank));
+    for (const auto &[service, seconds] : found->second) {
+        if (seconds >= LeastWorkSeconds) {
+            share = std::min(share, admittedShare(service, rank));
+        }
     }
-    if (share >= 1 || m_random.unit() < share) {
+    auto &credit = m_credits[route][index];
+    credit = std::min(credit + share, 1.0 + share);
+    if (share >= 1 || credit >= 1) {
+        credit = std::max(0.0, credit - 1);
         return std::nullopt;
     }
-    // Spreads the returns over a time that grows with the share that is turned away.
-    const double spread = 1 + (1 - share) * 3 * m_random.unit() + static_cast<double>(std::min(rank, 2U));
-    return std::chrono::duration_cast<Duration>(ShortestReturn * spread);
+    // A golden-ratio sequence spreads the returns evenly without a random source.
+    constexpr double GoldenRatio = 0.6180339887;
+    const double spread = std::fmod(++m_refusals * GoldenRatio, 1.0) * (1 - share);
+    return ShortestReturn + std::chrono::duration_cast<Duration>(ReturnSpread * spread);
+}
+
+std::map<ServiceName, RankDemand> TreeAdmission::demand() const
+{
+    std::map<ServiceName, RankDemand> result;
+    for (const auto &[name, service] : m_services) {
+        double total = 0;
+        for (const double it : service.total) {
+            total += it;
+        }
+        if (std::max(total, service.capacity.busy) > service.capacity.slots * ReportedUse) {
+            result.emplace(name, service.own);
+        }
+    }
+    return result;
 }
 
 double TreeAdmission::admittedShare(const ServiceName &service, std::uint32_t rank) const
 {
     const auto found = m_services.find(service);
-    if (found == m_services.end()) {
-        return 1;
+    return found == m_services.end() ? 1 : found->second.shares[indexOf(rank)];
+}
+
+void TreeAdmission::measureArrivals(TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_adjustedAt).count();
+    m_adjustedAt = now;
+    if (elapsed <= 0 || elapsed > 10) {
+        return;
+    }
+    const double kept = std::exp(-elapsed / ArrivalSeconds);
+    for (auto &[route, arrivals] : m_arrivals) {
+        for (std::size_t n = 0; n < AdmissionRanks; ++n) {
+            arrivals.rates[n] = arrivals.rates[n] * kept + arrivals.counts[n] / elapsed * (1 - kept);
+            arrivals.counts[n] = 0;
+        }
+    }
+}
+
+void TreeAdmission::sumDemand(TimePoint now)
+{
+    for (auto &[name, service] : m_services) {
+        service.own = {};
+    }
+    for (const auto &[route, arrivals] : m_arrivals) {
+        const auto work = m_work.find(route);
+        if (work == m_work.end()) {
+            continue;
+        }
+        for (const auto &[name, seconds] : work->second) {
+            auto &own = m_services[name].own;
+            for (std::size_t n = 0; n < AdmissionRanks; ++n) {
+                own[n] += arrivals.rates[n] * seconds;
+            }
+        }
+    }
+    for (auto &[name, service] : m_services) {
+        service.total = service.own;
+    }
+    for (const auto &[node, peer] : m_peers) {
+        if (now - peer.heardAt > PeerMemory) {
+            continue;
+        }
+        for (const auto &[name, demand] : peer.demand) {
+            auto &total = m_services[name].total;
+            for (std::size_t n = 0; n < AdmissionRanks; ++n) {
+                total[n] += demand[n];
+            }
+        }
+    }
+}
+
+void TreeAdmission::divide(Service &service)
+{
+    double left = service.capacity.slots * UsedPart * service.trim;
+    for (std::size_t n = 0; n < AdmissionRanks; ++n) {
+        const double wanted = service.total[n];
+        service.shares[n] =
+            wanted <= left && service.capacity.slots > 0 ? 1 : std::max(LeastShare, left / std::max(wanted, LeastWorkSeconds));
+        left = std::max(0.0, left - wanted);
     }
-    const double below = std::min<double>(rank, Ranks - 1);
-    return std::clamp(found->second.level - below, 0.0, 1.0);
 }
 
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/treeadmission.h
+++ b/modules/mesh/decisions/treeadmission.h
@@ -2,55 +2,100 @@
 
 #include "core/clock.h"
 #include "core/names.h"
-#include "core/random.h"
+#include "mesh/model/servicework.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace Pimentohollow
 {
 
+/** Ranks that admission tells apart; less urgent ones are taken together. */
+inline constexpr std::size_t AdmissionRanks = 8;
+
+/** Slots that requests of each rank would keep busy, on average. */
+using RankDemand = std::array<double, AdmissionRanks>;
+
+/** What a service can do now, as far as this node sees. */
+struct ServiceCapacity {
+    /** Slots of the upstreams that can be reached and take requests. */
+    double slots = 0;
+    /** Those of them that are taken. */
+    double busy = 0;
+    /** Mean time that requests wait for a slot. */
+    Duration wait{};
+};
+
 /**
  * Decides at the entry node whether the tree of calls below a new request may start.
  *
- * The load it answers: the smallest service at the bottom of the trees gets one and a half times what it can do, while those above it have
- * room. Shedding there wastes the work of all services above. So each entry node learns which services the trees of a route reach, and
- * admits a falling share of those trees, the least urgent rank first, while one of these services has a queue. Requests whose trees don't
- * reach it aren't touched. Not thread-safe, no clock.
+ * The load it answers: the smallest service at the bottom of the trees gets one and a half times what it can do, or loses most of its
+ * upstreams, while those above it have room. Shedding there wastes the work of all services above, so the trees are refused before they
+ * start. Each entry node learns from the answers how long a request of a route holds slots of each service. It multiplies that with the
+ * requests that arrive and tells the other nodes the result. All nodes divide the slots of a service among the ranks in the same way, the
+ * most urgent first. Requests whose trees don't reach a service that is short aren't touched. Not thread-safe, no clock.
  */
 class TreeAdmission
 {
 public:
-    explicit TreeAdmission(Random &random);
-
-    /** Trees of @p route keep @p busySlots slots of @p service busy, by one of its nodes. */
-    void learnWork(const RouteName &route, const ServiceName &service, double busySlots, TimePoint now);
-    /** Mean time that requests wait at the upstreams of @p service now. Call it for all services, then adjust(). */
-    void setWait(const ServiceName &service, Duration wait);
-    /** Moves the admitted shares by the waits set before; call it every AdjustInterval. */
+    /** Takes the work that a request of @p route was found to bring. */
+    void learn(const RouteName &route, const std::vector<ServiceWork> &work);
+    /** Demand that another node reported for a service. */
+    void reported(const NodeName &node, const std::map<ServiceName, RankDemand> &demand, TimePoint now);
+    /** Call it for all services, then adjust(). A service that isn't set has no capacity. */
+    void setCapacity(const ServiceName &service, const ServiceCapacity &capacity);
+    /** Divides the slots anew; call it every AdjustInterval. */
     void adjust(TimePoint now);
 
-    /** Nothing if the tree may start, or when to come back. */
+    /** Counts the request and decides on it: nothing if its tree may start, or when to come back. */
     std::optional<Duration> admit(const RouteName &route, std::uint32_t rank, TimePoint now);
 
+    /** This node's demand for the services that are more than half busy, for the others. */
+    std::map<ServiceName, RankDemand> demand() const;
+    /** Share of the requests of @p rank whose trees reach @p service that are admitted. */
+    double admittedShare(const ServiceName &service, std::uint32_t rank) const;
+
     static constexpr std::chrono::milliseconds AdjustInterval{ 100 };
 
 private:
+    struct Arrivals {
+        /** Requests per second by rank, moving averages. */
+        RankDemand rates{};
+        RankDemand counts{};
+    };
     struct Service {
-        Duration wait{};
-        /** Ranks that are admitted: 1.3 admits rank 0 and three tenths of rank 1. */
-        double level = 0;
-        bool started = false;
+        ServiceCapacity capacity;
+        bool set = false;
+        /** Factor of the slots that trees may use, moved by the wait. */
+        double trim = 1;
+        RankDemand own{};
+        RankDemand total{};
+        RankDemand shares{};
+    };
+    struct Peer {
+        TimePoint heardAt{};
+        std::map<ServiceName, RankDemand> demand;
     };
 
-    double admittedShare(const ServiceName &service, std::uint32_t rank) const;
+    void measureArrivals(TimePoint now);
+    void sumDemand(TimePoint now);
+    void divide(Service &service);
 
-    Random &m_random;
-    std::unordered_map<ServiceName, Service> m_services;
-    /** When a service was last seen below a route. */
-    std::unordered_map<RouteName, std::unordered_map<ServiceName, TimePoint>> m_reached;
+    std::map<ServiceName, Service> m_services;
+    /** Seconds of a slot that a request of a route takes at each service. */
+    std::unordered_map<RouteName, std::map<ServiceName, double>> m_work;
+    std::unordered_map<RouteName, Arrivals> m_arrivals;
+    /** Parts of requests that are owed to each route and rank, so that the admitted share is exact and not only probable. */
+    std::unordered_map<RouteName, RankDemand> m_credits;
+    std::unordered_map<NodeName, Peer> m_peers;
+    TimePoint m_adjustedAt{};
+    /** Spreads the returns of refused callers. */
+    std::uint32_t m_refusals = 0;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/links/meshlink.cpp
+++ b/modules/mesh/links/meshlink.cpp
@@ -67,7 +67,7 @@
     const std::uint64_t id = ++m_nextCall;
     if (!m_connection) {
         m_loop.post([done = std::move(done)] {
-            done({ RunOutcome::Unreachable, 0, {} });
+            done(withoutAnswer(RunOutcome::Unreachable));
         });
         return id;
     }
@@ -177,7 +177,7 @@
 void MeshLink::failPending(RunOutcome outcome)
 {
     for (const auto &[id, done] : std::exchange(m_pending, {})) {
-        done({ outcome, 0, {} });
+        done(withoutAnswer(outcome));
     }
 }
 
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -3,6 +3,7 @@
 #include "core/enumtable.h"
 #include "core/names.h"
 #include "mesh/model/fleetstore.h"
+#include "mesh/model/servicework.h"
 #include "mesh/model/trafficrules.h"
 #include "messages/call/httpmessages.h"
 #include "poison/crashtracker.h"
@@ -112,14 +113,21 @@
     std::uint32_t retryAfterMilliseconds = 0;
     /** Only for Answered. */
     HttpResponseMessage response;
+    /** What the request and the calls below it took, as far as is known. */
+    std::vector<ServiceWork> work;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(outcome, retryAfterMilliseconds, response);
+        archive(outcome, retryAfterMilliseconds, response, work);
     }
 };
 
+inline RunReply withoutAnswer(RunOutcome outcome, std::uint32_t retryAfterMilliseconds = 0)
+{
+    return { outcome, retryAfterMilliseconds, {}, {} };
+}
+
 /** Load of an upstream as its node sees it. */
 struct LoadReport {
     /** New requests are accepted. */
@@ -170,16 +178,15 @@
     }
 };
 
-/** Work that trees of one root route brought to an upstream. */
-struct RouteWork {
-    RouteName rootRoute;
-    /** Busy slots on average, in thousandths. */
-    std::uint32_t milliSlots = 0;
+/** Slots of a service that the requests at one entry node would keep busy, by rank, in thousandths. */
+struct TreeDemand {
+    ServiceName service;
+    std::vector<std::uint32_t> milliSlots;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(rootRoute, milliSlots);
+        archive(service, milliSlots);
     }
 };
 
@@ -188,13 +195,13 @@
     std::uint64_t rulesVersion = 0;
     LoadReport load;
     std::vector<AccountDemand> demand;
-    std::vector<RouteWork> work;
+    std::vector<TreeDemand> trees;
     std::vector<CrashReport> crashes;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(rulesVersion, load, demand, work, crashes);
+        archive(rulesVersion, load, demand, trees, crashes);
     }
 };
 
--- a/modules/mesh/model/trafficrules.h
+++ b/modules/mesh/model/trafficrules.h
@@ -70,7 +70,7 @@
 struct TrafficAccount {
     AccountName name;
     std::vector<std::string> keys;
-    /** Replaces the rank of the route; no account has this value if it has no rank of its own. */
+    /** 0 is the most urgent; NoRank if the account has none of its own. */
     std::uint32_t rank = NoRank;
     /** Fleet-wide rate in thousandths of a request per second; 0 for no limit. */
     std::uint32_t milliRate = 0;
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -49,7 +49,7 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.clock().wallNow().time_since_epoch()).count()))
     , m_crashes(m_loop.clock())
     , m_retries({ m_environment.settings.retryRatio * RetryShare, 1, m_environment.settings.retryWindow })
-    , m_trees(m_random)
+
     , m_runner({ m_loop,
                  m_environment.settings,
                  m_environment.headers,
@@ -529,9 +529,14 @@
     }
     m_accounts.reported(link.entry().node, spending, now);
     constexpr double Milli = 1000;
-    for (const auto &it : status.work) {
-        m_trees.learnWork(it.rootRoute, link.entry().service, it.milliSlots / Milli, now);
+    std::map<ServiceName, RankDemand> trees;
+    for (const auto &it : status.trees) {
+        auto &ranks = trees[it.service];
+        for (std::size_t n = 0; n < std::min(AdmissionRanks, it.milliSlots.size()); ++n) {
+            ranks[n] = it.milliSlots[n] / Milli;
+        }
     }
+    m_trees.reported(link.entry().node, trees, now);
     for (const auto &it : status.crashes) {
         m_crashes.merge(it);
     }
@@ -558,10 +563,13 @@
     for (const auto &it : m_accounts.takeReport(now)) {
         status.demand.push_back({ it.account, static_cast<std::uint32_t>(it.demand * Tenths), it.admitted });
     }
-    status.work = m_runner.takeWork(now);
-    for (const auto &it : status.work) {
-        constexpr double Milli = 1000;
-        m_trees.learnWork(it.rootRoute, m_environment.settings.service, it.milliSlots / Milli, now);
+    constexpr double Milli = 1000;
+    for (const auto &[service, ranks] : m_trees.demand()) {
+        TreeDemand demand{ service, {} };
+        for (const double it : ranks) {
+            demand.milliSlots.push_back(static_cast<std::uint32_t>(it * Milli));
+        }
+        status.trees.push_back(std::move(demand));
     }
     status.crashes = m_crashes.takeReports();
     const MeshFrame frame = std::move(status);
@@ -603,12 +611,14 @@
     struct Sum {
         double waits = 0;
         double slots = 0;
+        double busy = 0;
     };
     std::map<ServiceName, Sum> sums;
     const auto add = [&sums](const ServiceName &service, const LoadReport &load) {
         if (load.accepting) {
             sums[service].waits += static_cast<double>(load.waitMilliseconds) * load.slots;
             sums[service].slots += load.slots;
+            sums[service].busy += load.running;
         }
     };
     add(m_environment.settings.service, m_runner.load());
@@ -618,7 +628,8 @@
         }
     }
     for (const auto &[service, sum] : sums) {
-        m_trees.setWait(service, std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(sum.waits / sum.slots)));
+        const std::chrono::duration<double, std::milli> wait(sum.waits / std::max(sum.slots, 1.0));
+        m_trees.setCapacity(service, { sum.slots, sum.busy, std::chrono::duration_cast<Duration>(wait) });
     }
     m_trees.adjust(now);
 }
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -56,7 +56,6 @@
 
 UpstreamRunner::UpstreamRunner(Environment environment)
     : m_environment(std::move(environment))
-    , m_workSince(m_environment.loop.now())
 {
 }
 
@@ -89,7 +88,7 @@
         m_jobs.erase(job->ticket);
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(refused->retryAfter).count();
         m_environment.loop.post([done = std::move(job->done), wait] {
-            done({ RunOutcome::Full, static_cast<std::uint32_t>(wait), {} });
+            done(withoutAnswer(RunOutcome::Full, static_cast<std::uint32_t>(wait)));
         });
     }
     return job->ticket;
@@ -206,20 +205,6 @@
     return report;
 }
 
-std::vector<RouteWork> UpstreamRunner::takeWork(TimePoint now)
-{
-    const double elapsed = std::chrono::duration<double>(now - std::exchange(m_workSince, now)).count();
-    std::vector<RouteWork> result;
-    constexpr double Milli = 1000;
-    for (const auto &[route, seconds] : std::exchange(m_workSeconds, {})) {
-        const auto milliSlots = static_cast<std::uint32_t>(seconds / std::max(elapsed, 0.001) * Milli);
-        if (milliSlots > 0) {
-            result.push_back({ route, milliSlots });
-        }
-    }
-    return result;
-}
-
 void UpstreamRunner::tick()
 {
     if (m_queue.waiting() > 0) {
@@ -227,7 +212,7 @@
     }
 }
 
-std::optional<CallOrigin> UpstreamRunner::originOfCall(TimePoint expiry) const
+std::optional<UpstreamRunner::ParentRun> UpstreamRunner::parentOfCall(TimePoint expiry) const
 {
     const Job *best = nullptr;
     Duration bestDistance = Duration::max();
@@ -249,9 +234,28 @@
     if (parent == nullptr) {
         return std::nullopt;
     }
-    CallOrigin origin = parent->frame.origin;
-    origin.inner = true;
-    return origin;
+    ParentRun run{ parent->ticket, parent->frame.origin };
+    run.origin.inner = true;
+    return run;
+}
+
+void UpstreamRunner::addCallWork(std::uint64_t parent, const std::vector<ServiceWork> &work)
+{
+    const auto found = m_jobs.find(parent);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto &sums = found->second->callWork;
+    for (const auto &it : work) {
+        const auto same = std::find_if(sums.begin(), sums.end(), [&it](const ServiceWork &sum) {
+            return sum.service == it.service;
+        });
+        if (same == sums.end()) {
+            sums.push_back(it);
+        } else {
+            same->microseconds += it.microseconds;
+        }
+    }
 }
 
 bool UpstreamRunner::isAccepting() const
@@ -305,13 +309,13 @@
             auto socket =
                 AsyncSocket::connect(loop, m_environment.settings.upstream, std::min(job.expiry, loop.clock().now() + ConnectTime));
             if (!socket) {
-                return { RunOutcome::Unreachable, 0, {} };
+                return withoutAnswer(RunOutcome::Unreachable);
             }
             connection = std::make_unique<HttpConnection>(std::move(*socket));
         }
         if (job.cancelled) {
             keep(std::move(connection), std::nullopt);
-            return { RunOutcome::Leaving, 0, {} };
+            return withoutAnswer(RunOutcome::Leaving);
         }
         bool reusable = false;
         bool unread = false;
@@ -337,14 +341,14 @@
     const TimePoint deadline = job.expiry + AnswerSlack;
     const auto sent = connection.socket().writeAll(requestBytes(job), deadline);
     if (!sent && sent.error().kind == ErrorKind::Timeout) {
-        return { RunOutcome::TimedOut, 0, {} };
+        return withoutAnswer(RunOutcome::TimedOut);
     }
     const std::string *requestId = findHeader(job.frame.request.headers, m_environment.headers.requestId);
     for (int n = 0; n <= MostStaleAnswers; ++n) {
         auto response = connection.readResponse(job.frame.request.method == "HEAD", MaximumAnswerBytes, true, deadline);
         if (!response) {
             unread = n == 0 && response.error() == ReadFault::Truncated;
-            return { response.error() == ReadFault::Timeout ? RunOutcome::TimedOut : RunOutcome::Broken, 0, {} };
+            return withoutAnswer(response.error() == ReadFault::Timeout ? RunOutcome::TimedOut : RunOutcome::Broken);
         }
         bool stale = false;
         const bool keepsOpen = response->reusable && n == 0;
@@ -357,7 +361,7 @@
         }
         Log.warning("stale_answer", { { "request", requestId == nullptr ? "" : *requestId } });
     }
-    return { RunOutcome::Broken, 0, {} };
+    return withoutAnswer(RunOutcome::Broken);
 }
 
 std::string UpstreamRunner::requestBytes(Job &job)
@@ -386,17 +390,17 @@
         m_replaced = true;
         applyState();
         m_environment.stateChanged();
-        return { RunOutcome::Rejected, 0, {} };
+        return withoutAnswer(RunOutcome::Rejected);
     }
     if (findHeader(message.headers, names.notRun) != nullptr) {
-        return { RunOutcome::Rejected, 0, {} };
+        return withoutAnswer(RunOutcome::Rejected);
     }
     const bool encoded = findHeader(message.headers, "Content-Encoding") != nullptr;
     const bool unsignedSuccess = message.status < FirstRedirect && findHeader(message.headers, names.stamp) == nullptr;
     if (echoed == nullptr || encoded || unsignedSuccess) {
-        return { RunOutcome::Broken, 0, {} };
+        return withoutAnswer(RunOutcome::Broken);
     }
-    return { RunOutcome::Answered, 0, std::move(message) };
+    return { RunOutcome::Answered, 0, std::move(message), {} };
 }
 
 std::unique_ptr<HttpConnection> UpstreamRunner::takeIdle(bool idempotent)
@@ -442,7 +446,9 @@
     } else {
         crashes.ended(job->frame.fingerprint, m_environment.settings.node);
     }
-    m_workSeconds[job->frame.origin.rootRoute] += std::chrono::duration<double>(now - job->startedAt).count();
+    const auto held = std::chrono::duration_cast<std::chrono::microseconds>(now - job->startedAt).count();
+    result.work = std::move(job->callWork);
+    result.work.push_back({ m_environment.settings.service, static_cast<std::uint32_t>(held) });
     m_jobs.erase(job->ticket);
     std::optional<Duration> runTime;
     if (result.outcome == RunOutcome::Answered) {
@@ -479,7 +485,7 @@
     m_jobs.erase(found);
     if (job->done) {
         m_environment.loop.post([done = std::move(job->done), outcome] {
-            done({ outcome, 0, {} });
+            done(withoutAnswer(outcome));
         });
     }
 }
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -28,6 +28,13 @@
 public:
     using Done = std::function<void(RunReply &&)>;
 
+    /** A running request that makes calls. */
+    struct ParentRun {
+        std::uint64_t ticket = 0;
+        /** The origin of its calls. */
+        CallOrigin origin;
+    };
+
     struct Environment {
         EventLoop &loop;
         const MeshSettings &settings;
@@ -61,15 +68,15 @@
     void close();
 
     LoadReport load() const;
-    /** Busy slots by root route since the last call. */
-    std::vector<RouteWork> takeWork(TimePoint now);
     /** Refuses waiting requests that can't finish any more. Call it regularly. */
     void tick();
     /**
-     * The origin of a call that the upstream makes, found by the deadline: a call expires with the request for which it is made.
+     * The request for which the upstream makes a call, found by the deadline: a call expires with the request for which it is made.
      * Nothing if no request runs that could have made it.
      */
-    std::optional<CallOrigin> originOfCall(TimePoint expiry) const;
+    std::optional<ParentRun> parentOfCall(TimePoint expiry) const;
+    /** Adds what a call took to the request for which it was made. */
+    void addCallWork(std::uint64_t parent, const std::vector<ServiceWork> &work);
 
     std::size_t active() const
     {
@@ -83,6 +90,8 @@
         TimePoint expiry{};
         TimePoint startedAt{};
         Done done;
+        /** What its calls took. */
+        std::vector<ServiceWork> callWork;
         bool running = false;
         bool cancelled = false;
         /** The connection in use. */
@@ -130,8 +139,6 @@
     std::vector<IdleConnection> m_idle;
     double m_quality = 1;
     double m_runSeconds = 0;
-    TimePoint m_workSince{};
-    std::unordered_map<RouteName, double> m_workSeconds;
     std::uint64_t m_crashes = 0;
 };
 
