Reserve repeats for urgent ranks

Cause: while all upstreams of the smallest service reject half of their requests, repeats for calls of the large, least urgent trees used up the allowance.

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -260,7 +260,7 @@
         }
         patient = false;
         const bool repeatable = entry.route->idempotent && !repeat && entry.route->maximumAttempts > 1;
-        if (repeatable && m_environment.retries.tryRepeat(entry.service, m_environment.loop.now())) {
+        if (repeatable && m_environment.retries.tryRepeat(entry.service, entry.origin.rank, m_environment.loop.now())) {
             m_environment.metrics.counter("pimentohollow_impatient_repeats_total").add();
             state->pending = nullptr;
             way.link ? way.link->cancel(call) : m_environment.runner.cancel(call);
@@ -287,7 +287,7 @@
     if (left < usual * RepeatTimeShare) {
         return false;
     }
-    return m_environment.retries.tryRepeat(entry.service, m_environment.loop.now());
+    return m_environment.retries.tryRepeat(entry.service, entry.origin.rank, m_environment.loop.now());
 }
 
 TimePoint EntryPath::attemptDeadline(const Entry &entry) const
--- a/modules/mesh/decisions/retryallowance.cpp
+++ b/modules/mesh/decisions/retryallowance.cpp
@@ -12,6 +12,10 @@
 /** Share of a window's allowance that calm times may save for later; the rest of the fleet's budget covers it. */
 constexpr double SavedShare = 0.5;
 
+/** Part of the saved repeats that the least urgent rank leaves to the others; ranks between leave less. */
+constexpr double ReservedShare = 0.7;
+constexpr double LastRank = 5;
+
 } // namespace
 
 RetryAllowance::RetryAllowance(RetryAllowanceSettings settings)
@@ -31,10 +35,11 @@
     it.tokens = std::min(capacity(it), it.tokens + m_settings.ratio);
 }
 
-bool RetryAllowance::tryRepeat(const ServiceName &service, TimePoint now)
+bool RetryAllowance::tryRepeat(const ServiceName &service, std::uint32_t rank, TimePoint now)
 {
     auto &it = account(service, now);
-    if (it.tokens < 1) {
+    const double reserved = std::min(1.0, rank / LastRank) * ReservedShare * capacity(it);
+    if (it.tokens - reserved < 1) {
         return false;
     }
     it.tokens -= 1;
--- a/modules/mesh/decisions/retryallowance.h
+++ b/modules/mesh/decisions/retryallowance.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/names.h"
 
+#include <cstdint>
 #include <unordered_map>
 
 namespace Pimentohollow
@@ -29,8 +30,11 @@
 
     void setSlack(double slack);
     void recordRequest(const ServiceName &service, TimePoint now);
-    /** Takes the right to one repeat; false if it is used up. */
-    bool tryRepeat(const ServiceName &service, TimePoint now);
+    /**
+     * Takes the right to one repeat; false if it is used up. Less urgent ranks leave a part of it to the more urgent ones: when an upstream
+     * rejects half of its requests, repeats for large, less urgent trees would use up all and still save few of them.
+     */
+    bool tryRepeat(const ServiceName &service, std::uint32_t rank, TimePoint now);
     /** Counts a repeat that can't be avoided: a call of a request that itself runs again. */
     void charge(const ServiceName &service, TimePoint now);
 
