Offer rejected requests again; put calls behind callers' requests of their rank and above

Cause: one rejection ended a request although the route allowed another run at the same upstream, and calls of the least urgent trees waited in the queue beside requests that lose most by waiting (reminder-check, aim 150 ms).

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -27,8 +27,10 @@
 /** Deadline of a request that names none and whose route has no timeout. */
 constexpr std::chrono::seconds DefaultDeadline(30);
 constexpr std::chrono::milliseconds LongestDeadline(600'000);
-/** Nodes that one request may be offered to; refusals of nodes cost little, but each takes a round trip. */
-constexpr std::size_t MostOffers = 4;
+/** Times that one request may be offered to nodes; refusals of nodes cost little, but each takes a round trip. */
+constexpr std::size_t MostOffers = 6;
+/** Ranks by which calls come after requests of callers when repeats are short: a tree needs all of its calls, a request only itself. */
+constexpr std::uint32_t CallRepeatRank = 2;
 /** A repeat starts only if the usual time to an answer is still left. */
 constexpr double RepeatTimeShare = 1.0;
 /** An attempt without an answer is repeated elsewhere after this many times the usual time to an answer. */
@@ -162,55 +164,67 @@
 HttpResponseMessage EntryPath::forward(HttpRequestMessage &&request, Entry &entry, PendingRequest &pending)
 {
     Attempts attempts;
-    while (attempts.tried.size() < MostOffers && !pending.cancelled() && m_environment.loop.clock().now() < entry.deadline) {
+    while (attempts.offers < MostOffers && !pending.cancelled() && m_environment.loop.clock().now() < entry.deadline) {
         const auto way = choose(entry, attempts);
         if (!way) {
             break;
         }
         const TimePoint startedAt = m_environment.loop.clock().now();
-        attempts.tried.push_back(way->node);
+        ++attempts.offers;
         attempts.last = attempt(*way, request, entry, pending, attempts.mayHaveRun);
         learn(entry, attempts.last, startedAt);
-        if (attempts.last.outcome == RunOutcome::Rejected || !neverRan(attempts.last.outcome)) {
-            ++attempts.sent;
-        }
+        record(way->node, attempts);
         if (attempts.last.outcome == RunOutcome::Answered && attempts.last.response.status < FirstServerError) {
             break;
         }
-        if (attempts.last.retryAfterMilliseconds > 0) {
-            const auto wait = attempts.last.retryAfterMilliseconds;
-            attempts.retryAfterMilliseconds = attempts.retryAfterMilliseconds == 0 ? wait : std::min(wait, attempts.retryAfterMilliseconds);
-        }
-        const bool ran = !neverRan(attempts.last.outcome);
-        attempts.mayHaveRun = attempts.mayHaveRun || ran;
         if (attempts.last.outcome == RunOutcome::Poisonous) {
             break;
         }
         const bool impatient = attempts.last.outcome == RunOutcome::TimedOut && m_environment.loop.clock().now() < entry.deadline;
-        if (impatient && attempts.sent < std::max(1U, entry.route->maximumAttempts)) {
+        if (impatient) {
             continue; // the repeat was paid for when the attempt was given up
         }
-        if ((ran || attempts.last.outcome == RunOutcome::Rejected) && !mayRepeat(entry, attempts)) {
+        const bool reached = attempts.last.outcome == RunOutcome::Rejected || !neverRan(attempts.last.outcome);
+        if (reached && !mayRepeat(entry, attempts)) {
             break;
         }
     }
     return conclude(entry, std::move(attempts));
 }
 
+void EntryPath::record(const NodeName &node, Attempts &attempts)
+{
+    const bool ran = !neverRan(attempts.last.outcome);
+    attempts.mayHaveRun = attempts.mayHaveRun || ran;
+    auto &nodes = ran || attempts.last.outcome == RunOutcome::Rejected ? attempts.sentTo : attempts.refusedBy;
+    if (std::find(nodes.begin(), nodes.end(), node) == nodes.end()) {
+        nodes.push_back(node);
+    }
+    if (const auto wait = attempts.last.retryAfterMilliseconds; wait > 0) {
+        attempts.retryAfterMilliseconds = attempts.retryAfterMilliseconds == 0 ? wait : std::min(wait, attempts.retryAfterMilliseconds);
+    }
+}
+
 std::optional<UpstreamWay> EntryPath::choose(const Entry &entry, const Attempts &attempts)
 {
     auto ways = m_environment.ways(entry.service);
     std::vector<UpstreamCandidate> candidates;
     candidates.reserve(ways.size());
+    const auto contains = [](const std::vector<NodeName> &nodes, const NodeName &node) {
+        return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+    };
     for (auto &it : ways) {
-        it.candidate.tried = std::find(attempts.tried.begin(), attempts.tried.end(), it.node) != attempts.tried.end();
+        it.candidate.tried = contains(attempts.refusedBy, it.node) || contains(attempts.sentTo, it.node);
         candidates.push_back(it.candidate);
     }
-    auto index = m_chooser.choose(candidates, entry.route->idempotent);
-    if (!index && attempts.mayHaveRun) {
-        // A single upstream that broke off may still do better the second time.
-        for (auto &it : candidates) {
-            it.tried = false;
+    std::optional<std::size_t> index;
+    if (attempts.sentTo.size() < std::max(1U, entry.route->maximumAttempts)) {
+        index = m_chooser.choose(candidates, entry.route->idempotent);
+    }
+    if (!index && !attempts.sentTo.empty()) {
+        // The route allows no further upstream, or there is none: one that rejected it or broke off may do better now.
+        for (std::size_t n = 0; n < ways.size(); ++n) {
+            candidates[n].tried = contains(attempts.refusedBy, ways[n].node) || !contains(attempts.sentTo, ways[n].node);
         }
         index = m_chooser.choose(candidates, entry.route->idempotent);
     }
@@ -260,7 +274,7 @@
         }
         patient = false;
         const bool repeatable = entry.route->idempotent && !repeat && entry.route->maximumAttempts > 1;
-        if (repeatable && m_environment.retries.tryRepeat(entry.service, entry.origin.rank, m_environment.loop.now())) {
+        if (repeatable && m_environment.retries.tryRepeat(entry.service, repeatRank(entry), m_environment.loop.now())) {
             m_environment.metrics.counter("pimentohollow_impatient_repeats_total").add();
             state->pending = nullptr;
             way.link ? way.link->cancel(call) : m_environment.runner.cancel(call);
@@ -275,10 +289,15 @@
     return withoutAnswer(RunOutcome::TimedOut);
 }
 
+std::uint32_t EntryPath::repeatRank(const Entry &entry)
+{
+    return entry.origin.rank + (entry.origin.inner ? CallRepeatRank : 0);
+}
+
 bool EntryPath::mayRepeat(const Entry &entry, const Attempts &attempts)
 {
     const bool allowed = entry.route->idempotent || attempts.last.outcome == RunOutcome::Rejected;
-    if (!allowed || attempts.sent >= std::max(1U, entry.route->maximumAttempts)) {
+    if (!allowed) {
         return false;
     }
     const auto found = m_answerSeconds.find(entry.route->name);
@@ -287,7 +306,7 @@
     if (left < usual * RepeatTimeShare) {
         return false;
     }
-    return m_environment.retries.tryRepeat(entry.service, entry.origin.rank, m_environment.loop.now());
+    return m_environment.retries.tryRepeat(entry.service, repeatRank(entry), m_environment.loop.now());
 }
 
 TimePoint EntryPath::attemptDeadline(const Entry &entry) const
@@ -310,7 +329,7 @@
         m_environment.metrics.histogram("pimentohollow_request_seconds").record(m_environment.loop.clock().now() - entry.arrivedAt);
         return std::move(attempts.last.response);
     }
-    const bool none = attempts.tried.empty();
+    const bool none = attempts.offers == 0;
     const auto reason = none ? std::string_view("no_upstream") : RunOutcomeNames.name(attempts.last.outcome);
     if (!attempts.mayHaveRun) {
         const Duration wait = attempts.retryAfterMilliseconds == 0 ? Duration(UsualReturn)
--- a/modules/mesh/callers/entrypath.h
+++ b/modules/mesh/callers/entrypath.h
@@ -75,9 +75,12 @@
 
     /** How the attempts of a request went. */
     struct Attempts {
-        std::vector<NodeName> tried;
-        /** Attempts that an upstream may have got. */
-        std::uint32_t sent = 0;
+        /** Nodes that the request was offered to, again and again included. */
+        std::size_t offers = 0;
+        /** Nodes that refused it without sending it on. */
+        std::vector<NodeName> refusedBy;
+        /** Nodes whose upstreams may have got it; the route bounds their number. */
+        std::vector<NodeName> sentTo;
         bool mayHaveRun = false;
         RunReply last;
         /** Shortest time after which a node expects room. */
@@ -88,7 +91,9 @@
     std::optional<HttpResponseMessage> admit(Entry &entry);
     HttpResponseMessage forward(HttpRequestMessage &&request, Entry &entry, PendingRequest &pending);
     std::optional<UpstreamWay> choose(const Entry &entry, const Attempts &attempts);
+    static void record(const NodeName &node, Attempts &attempts);
     RunReply attempt(const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, bool repeat);
+    static std::uint32_t repeatRank(const Entry &entry);
     bool mayRepeat(const Entry &entry, const Attempts &attempts);
     TimePoint attemptDeadline(const Entry &entry) const;
     HttpResponseMessage conclude(const Entry &entry, Attempts &&attempts);
--- a/modules/mesh/decisions/slotqueue.cpp
+++ b/modules/mesh/decisions/slotqueue.cpp
@@ -1,7 +1,5 @@
 #include "mesh/decisions/slotqueue.h"
 
-#include "mesh/decisions/requestrank.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -36,7 +34,7 @@
 
 SlotDecision SlotQueue::offer(const SlotRequest &request, TimePoint now)
 {
-    const std::int64_t urgency = static_cast<std::int64_t>(request.rank) - (request.inner ? AccountRanks : 0);
+    const std::int64_t urgency = static_cast<std::int64_t>(request.rank) - (request.inner ? 1 : 0);
     const Position position{ urgency, ++m_nextPosition };
     if (m_running.size() < m_usableSlots && m_waiting.empty() && canFinish(request, now)) {
         m_running.emplace(request.ticket, request.route);
