--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -177,7 +177,8 @@
         if (attempts.last.outcome == RunOutcome::Answered && attempts.last.response.status < FirstServerError) {
             break;
         }
-        if (attempts.last.outcome == RunOutcome::Poisonous) {
+        // Repeating a request whose own calls failed would make all of them again; those calls have had their repeats.
+        if (attempts.last.outcome == RunOutcome::Poisonous || attempts.last.callFailed) {
             break;
         }
         const bool impatient = attempts.last.outcome == RunOutcome::TimedOut && m_environment.loop.clock().now() < entry.deadline;
@@ -324,6 +325,10 @@
 
 HttpResponseMessage EntryPath::conclude(const Entry &entry, Attempts &&attempts)
 {
+    const bool failed = attempts.last.outcome != RunOutcome::Answered || attempts.last.response.status >= FirstServerError;
+    if (entry.parent != 0 && failed) {
+        m_environment.runner.noteFailedCall(entry.parent);
+    }
     m_environment.metrics.counter("pimentohollow_requests_total", { { "outcome", RunOutcomeNames.name(attempts.last.outcome) } }).add();
     if (attempts.last.outcome == RunOutcome::Answered) {
         m_environment.metrics.histogram("pimentohollow_request_seconds").record(m_environment.loop.clock().now() - entry.arrivedAt);
--- a/modules/mesh/decisions/retryallowance.cpp
+++ b/modules/mesh/decisions/retryallowance.cpp
@@ -13,8 +13,8 @@
 constexpr double SavedShare = 0.5;
 
 /** Part of the saved repeats that the least urgent rank leaves to the others; ranks between leave less. */
-constexpr double ReservedShare = 0.7;
-constexpr double LastRank = 5;
+constexpr double ReservedShare = 0.25;
+constexpr double LastRank = 7;
 
 } // namespace
 
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -115,17 +115,19 @@
     HttpResponseMessage response;
     /** What the request and the calls below it took, as far as is known. */
     std::vector<ServiceWork> work;
+    /** A call that the upstream made for this request got no success. */
+    bool callFailed = false;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(outcome, retryAfterMilliseconds, response, work);
+        archive(outcome, retryAfterMilliseconds, response, work, callFailed);
     }
 };
 
 inline RunReply withoutAnswer(RunOutcome outcome, std::uint32_t retryAfterMilliseconds = 0)
 {
-    return { outcome, retryAfterMilliseconds, {}, {} };
+    return { outcome, retryAfterMilliseconds, {}, {}, false };
 }
 
 /** Load of an upstream as its node sees it. */
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -239,6 +239,14 @@
     return run;
 }
 
+void UpstreamRunner::noteFailedCall(std::uint64_t parent)
+{
+    const auto found = m_jobs.find(parent);
+    if (found != m_jobs.end()) {
+        found->second->callFailed = true;
+    }
+}
+
 void UpstreamRunner::addCallWork(std::uint64_t parent, const std::vector<ServiceWork> &work)
 {
     const auto found = m_jobs.find(parent);
@@ -400,7 +408,7 @@
     if (echoed == nullptr || encoded || unsignedSuccess) {
         return withoutAnswer(RunOutcome::Broken);
     }
-    return { RunOutcome::Answered, 0, std::move(message), {} };
+    return { RunOutcome::Answered, 0, std::move(message), {}, false };
 }
 
 std::unique_ptr<HttpConnection> UpstreamRunner::takeIdle(bool idempotent)
@@ -448,6 +456,7 @@
     }
     const auto held = std::chrono::duration_cast<std::chrono::microseconds>(now - job->startedAt).count();
     result.work = std::move(job->callWork);
+    result.callFailed = job->callFailed;
     result.work.push_back({ m_environment.settings.service, static_cast<std::uint32_t>(held) });
     m_jobs.erase(job->ticket);
     std::optional<Duration> runTime;
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -77,6 +77,8 @@
     std::optional<ParentRun> parentOfCall(TimePoint expiry) const;
     /** Adds what a call took to the request for which it was made. */
     void addCallWork(std::uint64_t parent, const std::vector<ServiceWork> &work);
+    /** A call made for this request got no success. */
+    void noteFailedCall(std::uint64_t parent);
 
     std::size_t active() const
     {
@@ -92,6 +94,7 @@
         Done done;
         /** What its calls took. */
         std::vector<ServiceWork> callWork;
+        bool callFailed = false;
         bool running = false;
         bool cancelled = false;
         /** The connection in use. */
