Place requests by the value that is likely to be lost

Cause: placement weighed a fixed cost of leaving the data centre against occupancy, for answers of 6 kB as for calls of 300 bytes, and left reminder-checks (aim 150 ms) at upstreams that run at 0.6 of the usual speed.

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -36,6 +36,8 @@
 /** An attempt without an answer is repeated elsewhere after this many times the usual time to an answer. */
 constexpr double PatienceFactor = 5;
 constexpr std::chrono::milliseconds LeastPatience(120);
+/** Heads of a request and its answer between nodes, about. */
+constexpr std::size_t HeadBytes = 450;
 /** Weight of one answer in the mean time to an answer. */
 constexpr double AnswerWeight = 0.05;
 /** Return of a caller that no upstream had room for, if none says when. */
@@ -122,6 +124,7 @@
     entry.fingerprint = RequestFingerprint::of(AccountName(entry.account == nullptr ? "" : entry.account->name.text()),
                                                RouteName(request.method + " " + request.target),
                                                request.body);
+    entry.requestBytes = request.body.size();
     removeHopByHopHeaders(request.headers);
     for (const auto *it : { &names.key, &names.account, &names.callerService, &names.expectedUpstream, &names.deadline }) {
         removeHeader(request.headers, *it);
@@ -206,6 +209,20 @@
     }
 }
 
+PlacedRequest EntryPath::placedRequest(const Entry &entry) const
+{
+    constexpr double Milli = 1000;
+    PlacedRequest placed;
+    placed.idempotent = entry.route->idempotent;
+    placed.objectiveSeconds = entry.route->objectiveMilliseconds / Milli;
+    const auto found = m_answers.find(entry.route->name);
+    if (found != m_answers.end()) {
+        placed.usualSeconds = found->second.seconds;
+        placed.bytes = found->second.bytes;
+    }
+    return placed;
+}
+
 std::optional<UpstreamWay> EntryPath::choose(const Entry &entry, const Attempts &attempts)
 {
     auto ways = m_environment.ways(entry.service);
@@ -218,16 +235,17 @@
         it.candidate.tried = contains(attempts.refusedBy, it.node) || contains(attempts.sentTo, it.node);
         candidates.push_back(it.candidate);
     }
+    const PlacedRequest placed = placedRequest(entry);
     std::optional<std::size_t> index;
     if (attempts.sentTo.size() < std::max(1U, entry.route->maximumAttempts)) {
-        index = m_chooser.choose(candidates, entry.route->idempotent);
+        index = m_chooser.choose(candidates, placed);
     }
     if (!index && !attempts.sentTo.empty()) {
         // The route allows no further upstream, or there is none: one that rejected it or broke off may do better now.
         for (std::size_t n = 0; n < ways.size(); ++n) {
             candidates[n].tried = contains(attempts.refusedBy, ways[n].node) || !contains(attempts.sentTo, ways[n].node);
         }
-        index = m_chooser.choose(candidates, entry.route->idempotent);
+        index = m_chooser.choose(candidates, placed);
     }
     if (!index) {
         return std::nullopt;
@@ -301,8 +319,8 @@
     if (!allowed) {
         return false;
     }
-    const auto found = m_answerSeconds.find(entry.route->name);
-    const double usual = found == m_answerSeconds.end() ? 0 : found->second;
+    const auto found = m_answers.find(entry.route->name);
+    const double usual = found == m_answers.end() ? 0 : found->second.seconds;
     const double left = std::chrono::duration<double>(entry.deadline - m_environment.loop.clock().now()).count();
     if (left < usual * RepeatTimeShare) {
         return false;
@@ -312,13 +330,14 @@
 
 TimePoint EntryPath::attemptDeadline(const Entry &entry) const
 {
-    const auto found = m_answerSeconds.find(entry.route->name);
-    if (found == m_answerSeconds.end()) {
+    const auto found = m_answers.find(entry.route->name);
+    if (found == m_answers.end()) {
         return entry.deadline;
     }
-    const auto patience = std::max<Duration>(
-        LeastPatience, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found->second * PatienceFactor)));
-    const auto usual = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found->second));
+    const double seconds = found->second.seconds;
+    const auto patience =
+        std::max<Duration>(LeastPatience, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds * PatienceFactor)));
+    const auto usual = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
     const TimePoint due = m_environment.loop.now() + patience;
     return due + usual < entry.deadline ? due : entry.deadline;
 }
@@ -387,8 +406,11 @@
         m_environment.trees.learn(entry.tree, result.work);
     }
     const double seconds = std::chrono::duration<double>(m_environment.loop.clock().now() - startedAt).count();
-    auto &mean = m_answerSeconds[entry.route->name];
-    mean = mean == 0 ? seconds : mean + AnswerWeight * (seconds - mean);
+    const auto bytes = static_cast<double>(entry.requestBytes + result.response.body.size() + HeadBytes);
+    auto &usual = m_answers[entry.route->name];
+    const double weight = usual.seconds == 0 ? 1 : AnswerWeight;
+    usual.seconds += weight * (seconds - usual.seconds);
+    usual.bytes += weight * (bytes - usual.bytes);
 }
 
 } // namespace Pimentohollow
--- a/modules/mesh/callers/entrypath.h
+++ b/modules/mesh/callers/entrypath.h
@@ -71,6 +71,7 @@
         /** The route with the service chosen for the request: what admission learns work for. */
         RouteName tree;
         RequestFingerprint fingerprint;
+        std::size_t requestBytes = 0;
     };
 
     /** How the attempts of a request went. */
@@ -90,6 +91,7 @@
     std::optional<HttpResponseMessage> identify(HttpRequestMessage &request, Entry &entry);
     std::optional<HttpResponseMessage> admit(Entry &entry);
     HttpResponseMessage forward(HttpRequestMessage &&request, Entry &entry, PendingRequest &pending);
+    PlacedRequest placedRequest(const Entry &entry) const;
     std::optional<UpstreamWay> choose(const Entry &entry, const Attempts &attempts);
     static void record(const NodeName &node, Attempts &attempts);
     RunReply attempt(const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, bool repeat);
@@ -103,8 +105,13 @@
     Environment m_environment;
     WeightedSplit m_split;
     UpstreamChooser m_chooser;
-    /** Mean time to an answer by route, in seconds. */
-    std::unordered_map<RouteName, double> m_answerSeconds;
+    /** Moving averages over the answers of a route. */
+    struct UsualAnswer {
+        double seconds = 0;
+        /** Request and answer, with their heads. */
+        double bytes = 0;
+    };
+    std::unordered_map<RouteName, UsualAnswer> m_answers;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/upstreamchooser.cpp
+++ b/modules/mesh/decisions/upstreamchooser.cpp
@@ -1,7 +1,9 @@
 #include "mesh/decisions/upstreamchooser.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <numbers>
 
 namespace Pimentohollow
 {
@@ -9,21 +11,72 @@
 namespace
 {
 
-/** Occupancy from which a request is expected to be delayed. */
-constexpr double FreeOccupancy = 0.75;
-/** Cost of each full set of slots, as delay in units of a mean run. */
-constexpr double OccupancySlope = 4;
-/** Charge for leaving the data centre, in the same unit: a full set of slots of difference. */
-constexpr double CrossDataCentreCost = 1;
-/** Charge for an upstream all of whose requests fail. */
-constexpr double FailureCost = 8;
+/** Part of a request's value that a late answer loses. */
+constexpr double LateLoss = 0.6;
+/** Spread of run times: standard deviation of their logarithm. */
+constexpr double RunSpread = 0.6;
+/** Value of a request that a byte between data centres costs, from the prices that the users name. */
+constexpr double CrossByteCost = 3e-5;
+/** Cost of leaving the data centre for its own sake: a link more that can fail. */
+constexpr double CrossCost = 0.02;
+/** Occupancy from which each further request delays others. */
+constexpr double FreeOccupancy = 0.95;
+constexpr double FullSlope = 0.4;
+/** Spreads the load while no upstream is near its limit. */
+constexpr double OccupancyWeight = 0.02;
 /** Differences in quality below this are noise. */
-constexpr double QualityNoise = 0.08;
-/** Upstreams of a service differ in speed by up to this factor without anything being wrong. */
-constexpr double UsualSpread = 2.6;
-constexpr double SlownessSlope = 0.7;
+constexpr double QualityNoise = 0.05;
 /** One request in this many goes to a random upstream in spite of its bad answers. */
 constexpr std::uint64_t ProbeInterval = 50;
+constexpr double TieBreak = 0.002;
+
+/** Means of the usable candidates, against which each one is judged. */
+struct Reference {
+    double bestQuality = 0;
+    /** Mean run time, weighted by slots; 0 if unknown. */
+    double runSeconds = 0;
+};
+
+Reference referenceOf(const std::vector<UpstreamCandidate> &candidates, const std::vector<std::size_t> &usable)
+{
+    Reference result;
+    double slots = 0;
+    for (const auto n : usable) {
+        const auto &it = candidates[n];
+        result.bestQuality = std::max(result.bestQuality, it.quality);
+        if (it.runSeconds > 0) {
+            // Harmonic, as a slow upstream shouldn't make the others look fast.
+            result.runSeconds += it.slots / it.runSeconds;
+            slots += it.slots;
+        }
+    }
+    result.runSeconds = slots > 0 ? slots / result.runSeconds : 0;
+    return result;
+}
+
+/** Probability that an answer whose usual time is @p seconds takes longer than the objective. */
+double lateProbability(double seconds, double objectiveSeconds)
+{
+    if (seconds <= 0 || objectiveSeconds <= 0) {
+        return 0;
+    }
+    const double median = seconds * std::exp(-RunSpread * RunSpread / 2);
+    return std::erfc(std::log(objectiveSeconds / median) / RunSpread / std::numbers::sqrt2) / 2;
+}
+
+double expectedLoss(const UpstreamCandidate &candidate, const PlacedRequest &request, const Reference &reference)
+{
+    const double speed = candidate.runSeconds > 0 && reference.runSeconds > 0 ? candidate.runSeconds / reference.runSeconds : 1;
+    const double occupancy = static_cast<double>(candidate.load + 1) / candidate.slots;
+    const double wait = std::max(0.0, occupancy - 1) * candidate.runSeconds;
+    double loss = LateLoss * lateProbability(request.usualSeconds * speed + wait, request.objectiveSeconds);
+    loss += occupancy * OccupancyWeight + std::max(0.0, occupancy - FreeOccupancy) * FullSlope;
+    loss += std::max(0.0, reference.bestQuality - candidate.quality - QualityNoise);
+    if (!candidate.sameDataCentre) {
+        loss += CrossCost + request.bytes * CrossByteCost;
+    }
+    return loss;
+}
 
 } // namespace
 
@@ -32,61 +85,35 @@
 {
 }
 
-std::optional<std::size_t> UpstreamChooser::choose(const std::vector<UpstreamCandidate> &candidates, bool idempotent)
+std::optional<std::size_t> UpstreamChooser::choose(const std::vector<UpstreamCandidate> &candidates, const PlacedRequest &request)
 {
-    double bestQuality = 0;
-    double shortestRun = std::numeric_limits<double>::max();
     std::vector<std::size_t> usable;
     for (std::size_t n = 0; n < candidates.size(); ++n) {
         const auto &it = candidates[n];
         if (it.reachable && it.accepting && !it.tried && it.slots > 0) {
             usable.push_back(n);
-            bestQuality = std::max(bestQuality, it.quality);
-            shortestRun = it.runSeconds > 0 ? std::min(shortestRun, it.runSeconds) : shortestRun;
         }
     }
     if (usable.empty()) {
         return std::nullopt;
     }
-    if (idempotent && m_random.below(ProbeInterval) == 0) {
+    const Reference reference = referenceOf(candidates, usable);
+    if (request.idempotent && m_random.below(ProbeInterval) == 0) {
         const std::size_t probed = usable[m_random.below(usable.size())];
-        // A probe serves only to see a recovery; it doesn't leave the data centre for nothing.
-        if (candidates[probed].quality < bestQuality - QualityNoise) {
+        if (candidates[probed].quality < reference.bestQuality - QualityNoise) {
             return probed;
         }
     }
     double lowest = std::numeric_limits<double>::max();
     std::size_t chosen = usable.front();
     for (const auto n : usable) {
-        constexpr double TieBreak = 0.02;
-        const double value = cost(candidates[n], bestQuality, shortestRun) + m_random.unit() * TieBreak;
-        if (value < lowest) {
-            lowest = value;
+        const double loss = expectedLoss(candidates[n], request, reference) + m_random.unit() * TieBreak;
+        if (loss < lowest) {
+            lowest = loss;
             chosen = n;
         }
     }
     return chosen;
 }
 
-double UpstreamChooser::cost(const UpstreamCandidate &candidate, double bestQuality, double shortestRun) const
-{
-    const double occupancy = static_cast<double>(candidate.load + 1) / candidate.slots;
-    double value = std::max(0.0, occupancy - FreeOccupancy) * OccupancySlope;
-    // Spreads the load of a data centre that has several upstreams while none of them is full.
-    constexpr double SpreadWeight = 0.5;
-    value += occupancy * SpreadWeight;
-    if (!candidate.sameDataCentre) {
-        value += CrossDataCentreCost;
-    }
-    const double worse = bestQuality - candidate.quality;
-    if (worse > QualityNoise) {
-        value += worse * FailureCost;
-    }
-    const double slowness = candidate.runSeconds / shortestRun;
-    if (slowness > UsualSpread) {
-        value += (slowness - UsualSpread) * SlownessSlope;
-    }
-    return value;
-}
-
 } // namespace Pimentohollow
