--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -14,7 +14,9 @@
 constexpr double DemandSeconds = 1.0;
 /** How long a silent node keeps its part; longer than the partitions that the users' platform announces. */
 constexpr std::chrono::seconds PeerMemory(15);
-constexpr std::chrono::seconds PeerCheckInterval(1);
+constexpr std::chrono::milliseconds PeerCheckInterval(100);
+/** A node that misses about two reports counts as silent. */
+constexpr std::chrono::milliseconds SilentTime(700);
 /** Demand that every node is assumed to have, as a part of the average, so that a first request finds a token. */
 constexpr double BaseDemandShare = 0.1;
 /** Part of the burst that a node assumes after its start: it doesn't know what was spent before. */
@@ -81,11 +83,13 @@
     if (limit.ratePerSecond <= 0) {
         return std::nullopt;
     }
-    const double part = share(account);
+    const double part = share(name, account);
     const double rate = limit.ratePerSecond * part * (account.level < 0 ? 1 - Payback : 1);
     account.shareTokens = std::min(std::max(1.0, rate * ShareSeconds), account.shareTokens + rate * elapsedSeconds(account.shareAt, now));
     account.shareAt = now;
-    const bool free = account.level - unseenSpending(account, now) >= 1;
+    const double silent = silentDemand(name, account);
+    const double silentPart = m_silent.empty() ? 0 : silent / std::max(silent + account.demand + account.othersDemand, LeastReportedDemand);
+    const bool free = account.level - unseenSpending(account, now) - limit.burst * silentPart >= 1;
     if (!free && account.shareTokens < 1) {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1 - account.shareTokens) / std::max(rate, 0.01)));
     }
@@ -114,7 +118,7 @@
 {
     auto &account = m_accounts[name];
     measure(account, 0, now);
-    return share(account);
+    return share(name, account);
 }
 
 AccountAllowance::Account &AccountAllowance::refreshed(const AccountName &name, const AccountLimit &limit, TimePoint now)
@@ -147,10 +151,22 @@
     account.othersDemandSeconds -= peer.demand * peer.atSeconds;
 }
 
-double AccountAllowance::othersDemand(const Account &account) const
+double AccountAllowance::silentDemand(const AccountName &name, const Account &account) const
 {
-    // Nodes that weren't heard yet are assumed to have the demand that this one has.
-    return account.othersDemand + account.demand * static_cast<double>(unheardNodes());
+    const std::size_t silentNodes = m_silent.size() + unheardNodes();
+    if (silentNodes == 0) {
+        return 0;
+    }
+    double reported = 0;
+    for (const auto &node : m_silent) {
+        const auto &accounts = m_peers.at(node).accounts;
+        const auto found = accounts.find(name);
+        reported += found == accounts.end() ? 0 : found->second.demand;
+    }
+    const double heardDemand = account.demand + std::max(0.0, account.othersDemand - reported);
+    const auto heardNodes = static_cast<double>(m_peers.size() - m_silent.size() + 1);
+    // What the others report now is the best guess for those that can't: demand rises everywhere at once.
+    return std::max(0.0, std::max(reported, heardDemand / heardNodes * static_cast<double>(silentNodes)) - reported);
 }
 
 double AccountAllowance::unseenSpending(const Account &account, TimePoint now) const
@@ -159,10 +175,10 @@
     return std::max(0.0, reported) + account.demand * static_cast<double>(unheardNodes()) * ShareSeconds;
 }
 
-double AccountAllowance::share(const Account &account) const
+double AccountAllowance::share(const AccountName &name, const Account &account) const
 {
     const auto nodes = static_cast<double>(std::max(m_nodes, m_peers.size() + 1));
-    const double total = account.demand + othersDemand(account);
+    const double total = account.demand + account.othersDemand + silentDemand(name, account);
     const double base = std::max(total, 1.0) * BaseDemandShare / nodes;
     return (account.demand + base) / (total + base * nodes);
 }
@@ -173,8 +189,13 @@
         return;
     }
     m_nextPeerCheck = now + PeerCheckInterval;
+    m_silent.clear();
     for (auto it = m_peers.begin(); it != m_peers.end();) {
-        if (now - it->second.heardAt <= PeerMemory) {
+        const Duration silence = now - it->second.heardAt;
+        if (silence <= PeerMemory) {
+            if (silence > SilentTime) {
+                m_silent.push_back(it->first);
+            }
             ++it;
             continue;
         }
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -92,9 +92,10 @@
     Account &refreshed(const AccountName &account, const AccountLimit &limit, TimePoint now);
     static void measure(Account &account, double count, TimePoint now);
     void forget(Account &account, const PeerAccount &peer);
-    double othersDemand(const Account &account) const;
+    /** Demand of the nodes that were not heard lately; their share of all demand is kept for them. */
+    double silentDemand(const AccountName &name, const Account &account) const;
     double unseenSpending(const Account &account, TimePoint now) const;
-    double share(const Account &account) const;
+    double share(const AccountName &name, const Account &account) const;
     void removeSilentPeers(TimePoint now);
     std::size_t unheardNodes() const;
 
@@ -103,6 +104,8 @@
     TimePoint m_nextPeerCheck{};
     std::unordered_map<AccountName, Account> m_accounts;
     std::unordered_map<NodeName, Peer> m_peers;
+    /** Those of m_peers that are silent at the moment. */
+    std::vector<NodeName> m_silent;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/slotqueue.cpp
+++ b/modules/mesh/decisions/slotqueue.cpp
@@ -13,9 +13,14 @@
 constexpr double UsableShare = 0.95;
 /** Weight of one run in the moving averages. */
 constexpr double RunWeight = 0.05;
-/** Share of the mean run time that must be left when a request starts; shorter than average runs may still make it. */
+/** Part of the mean run time that must be left for a request that finds a free slot; it takes nobody's place. */
 constexpr double LeastRunShare = 0.6;
-/** Requests that may wait for each slot, whatever their deadlines. */
+/**
+ * Deviations on top of the mean run time that must be left for one that waits: in a queue that stays full, all requests start at this
+ * limit, and with the mean alone every second run would end too late.
+ */
+constexpr double WaitingDeviations = 2;
+/** Requests that may wait for each slot before one more of their urgency, whatever their deadlines. */
 constexpr std::size_t MostWaitingPerSlot = 8;
 constexpr std::chrono::milliseconds ShortestReturn(50);
 constexpr std::chrono::seconds LongestReturn(2);
@@ -36,13 +41,13 @@
 {
     const std::int64_t urgency = static_cast<std::int64_t>(request.rank) - (request.inner ? 1 : 0);
     const Position position{ urgency, ++m_nextPosition };
-    if (m_running.size() < m_usableSlots && m_waiting.empty() && canFinish(request, now)) {
+    if (m_running.size() < m_usableSlots && m_waiting.empty() && canFinish(request, now, false)) {
         m_running.emplace(request.ticket, request.route);
         return SlotGranted{};
     }
     const auto ahead = static_cast<std::size_t>(std::distance(m_waiting.begin(), m_waiting.lower_bound(position)));
     const Duration wait = expectedWait(ahead);
-    if (m_waiting.size() >= MostWaitingPerSlot * m_usableSlots || !canFinish(request, now + wait)) {
+    if (ahead >= MostWaitingPerSlot * m_usableSlots || !canFinish(request, now + wait, true)) {
         return SlotRefused{ std::clamp<Duration>(expectedWait(m_waiting.size()), ShortestReturn, LongestReturn) };
     }
     m_waiting.emplace(position, request);
@@ -56,8 +61,12 @@
     if (found != m_running.end()) {
         if (runTime) {
             const double seconds = std::chrono::duration<double>(*runTime).count();
-            auto &mean = m_runTimes[found->second];
-            mean = mean == 0 ? seconds : mean + RunWeight * (seconds - mean);
+            auto &known = m_runTimes[found->second];
+            if (known.mean == 0) {
+                known = { seconds, seconds / 4 };
+            }
+            known.deviation += RunWeight * (std::abs(seconds - known.mean) - known.deviation);
+            known.mean += RunWeight * (seconds - known.mean);
             m_meanRunTime = m_meanRunTime == 0 ? seconds : m_meanRunTime + RunWeight * (seconds - m_meanRunTime);
         }
         m_running.erase(found);
@@ -81,7 +90,7 @@
     SlotSchedule result;
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
         const SlotRequest &request = it->second;
-        if (!canFinish(request, now)) {
+        if (!canFinish(request, now, true)) {
             result.refuse.push_back(request.ticket);
         } else if (m_running.size() < m_usableSlots) {
             m_running.emplace(request.ticket, request.route);
@@ -115,13 +124,17 @@
 Duration SlotQueue::runTime(const RouteName &route) const
 {
     const auto found = m_runTimes.find(route);
-    return found == m_runTimes.end() ? Duration{} : fromSeconds(found->second);
+    return found == m_runTimes.end() ? Duration{} : fromSeconds(found->second.mean);
 }
 
-bool SlotQueue::canFinish(const SlotRequest &request, TimePoint start) const
+bool SlotQueue::canFinish(const SlotRequest &request, TimePoint start, bool waits) const
 {
     const auto found = m_runTimes.find(request.route);
-    const double seconds = found == m_runTimes.end() ? 0 : found->second * LeastRunShare;
+    if (found == m_runTimes.end()) {
+        return start < request.expiry;
+    }
+    const auto &known = found->second;
+    const double seconds = waits ? known.mean + known.deviation * WaitingDeviations : known.mean * LeastRunShare;
     return start + fromSeconds(seconds) < request.expiry;
 }
 
--- a/modules/mesh/decisions/slotqueue.h
+++ b/modules/mesh/decisions/slotqueue.h
@@ -94,7 +94,8 @@
     /** Urgency, then order of arrival. */
     using Position = std::pair<std::int64_t, std::uint64_t>;
 
-    bool canFinish(const SlotRequest &request, TimePoint start) const;
+    /** @param waits the request does not start at once; then it must be sure to finish */
+    bool canFinish(const SlotRequest &request, TimePoint start, bool waits) const;
     Duration expectedWait(std::size_t ahead) const;
 
     std::uint32_t m_usableSlots = 0;
@@ -103,7 +104,12 @@
     std::unordered_map<std::uint64_t, Position> m_positions;
     std::unordered_map<std::uint64_t, RouteName> m_running;
     /** Moving averages in seconds. */
-    std::unordered_map<RouteName, double> m_runTimes;
+    struct RunTime {
+        double mean = 0;
+        /** Mean distance from the mean. */
+        double deviation = 0;
+    };
+    std::unordered_map<RouteName, RunTime> m_runTimes;
     double m_meanRunTime = 0;
 };
 
--- a/modules/mesh/decisions/upstreamchooser.cpp
+++ b/modules/mesh/decisions/upstreamchooser.cpp
@@ -21,7 +21,7 @@
 constexpr double CrossCost = 0.02;
 /** Occupancy from which each further request delays others. */
 constexpr double FreeOccupancy = 0.95;
-constexpr double FullSlope = 0.4;
+constexpr double FullSlope = 0.6;
 /** Spreads the load while no upstream is near its limit. */
 constexpr double OccupancyWeight = 0.02;
 /** Differences in quality below this are noise. */
--- /dev/null
+++ b/modules/mesh/tests/slotqueuetest.cpp
@@ -0,0 +1,160 @@
+#include "mesh/decisions/slotqueue.h"
+#include "core/random.h"
+
+#include <gtest/gtest.h>
+#include <queue>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t Slots = 20;
+constexpr std::uint32_t Usable = 19;
+const RouteName Lookup("lookup");
+const TimePoint Start{ 1h };
+
+SlotRequest request(std::uint64_t ticket, std::uint32_t rank = 0, bool inner = false, Duration left = 1s)
+{
+    return { ticket, Lookup, rank, inner, Start + left };
+}
+
+/** What callers of one rank got. */
+struct RankResult {
+    int asked = 0;
+    int inTime = 0;
+    int refused = 0;
+    int startedInVain = 0;
+    Duration longestHeld{};
+};
+
+/** Plays a service that gets @p factor times what it can do for ten seconds; each rank brings the same part of the load. */
+std::array<RankResult, 3> playOverload(double factor)
+{
+    constexpr Duration RunTime = 30ms;
+    constexpr Duration Deadline = 300ms;
+    SlotQueue queue;
+    queue.setSlots(Slots);
+    Random random(7);
+    struct Job {
+        std::uint32_t rank = 0;
+        TimePoint arrived{};
+        TimePoint started{};
+    };
+    std::map<std::uint64_t, Job> jobs;
+    std::multimap<TimePoint, std::uint64_t> ends;
+    std::array<RankResult, 3> results;
+    const auto apply = [&](const SlotSchedule &schedule, TimePoint now) {
+        for (const auto it : schedule.start) {
+            jobs[it].started = now;
+            ends.emplace(now + std::chrono::duration_cast<Duration>(RunTime * (0.5 + random.unit())), it);
+        }
+        for (const auto it : schedule.refuse) {
+            auto &result = results.at(jobs[it].rank);
+            ++result.refused;
+            result.longestHeld = std::max<Duration>(result.longestHeld, now - jobs[it].arrived);
+        }
+    };
+    const double interval = 0.03 / Usable / factor;
+    TimePoint arrival = Start;
+    std::uint64_t ticket = 0;
+    while (arrival < Start + 10s) {
+        while (!ends.empty() && ends.begin()->first <= arrival) {
+            const auto [end, finished] = *ends.begin();
+            ends.erase(ends.begin());
+            const auto &job = jobs[finished];
+            auto &result = results.at(job.rank);
+            ++(end - job.arrived <= Deadline ? result.inTime : result.startedInVain);
+            apply(queue.finished(finished, end - job.started, end), end);
+            EXPECT_LE(queue.running(), Usable);
+        }
+        ++ticket;
+        const auto rank = static_cast<std::uint32_t>(ticket % 3);
+        jobs[ticket] = { rank, arrival, {} };
+        ++results.at(rank).asked;
+        const auto decision = queue.offer({ ticket, Lookup, rank, false, arrival + Deadline }, arrival);
+        if (std::holds_alternative<SlotGranted>(decision)) {
+            apply({ { ticket }, {} }, arrival);
+        } else if (const auto *refused = std::get_if<SlotRefused>(&decision)) {
+            EXPECT_GT(refused->retryAfter, 0ms);
+            ++results.at(rank).refused;
+        }
+        arrival += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(random.exponential(interval)));
+    }
+    return results;
+}
+
+} // namespace
+
+/** Guards against the least urgent callers taking the slots of the most urgent ones while a service gets more than it can do. */
+TEST(SlotQueueTest, OverloadFallsOnTheLeastUrgent)
+{
+    for (const double factor : { 1.5, 2.5 }) {
+        const auto results = playOverload(factor);
+        EXPECT_GT(results[0].inTime, results[0].asked * 0.97) << factor;
+        EXPECT_GT(results[0].inTime * 1.0 / results[0].asked, results[2].inTime * 1.0 / results[2].asked) << factor;
+        for (const auto &it : results) {
+            EXPECT_LT(it.startedInVain, it.asked * 0.01) << "work for answers that come too late";
+        }
+        const int served = results[0].inTime + results[1].inTime + results[2].inTime;
+        const int capacity = static_cast<int>(10 / 0.03 * Usable);
+        EXPECT_GT(served, capacity * 0.93) << "slots stay unused";
+    }
+}
+
+/** Guards against a queue that fills while the service keeps up. */
+TEST(SlotQueueTest, NothingIsRefusedBelowTheLimit)
+{
+    const auto results = playOverload(0.7);
+    for (const auto &it : results) {
+        EXPECT_EQ(it.refused, 0);
+        EXPECT_EQ(it.inTime + 0.0, it.inTime);
+    }
+}
+
+/** Guards against calls of started trees that wait behind new requests of their rank. */
+TEST(SlotQueueTest, CallsGoBeforeNewRequestsOfTheirRank)
+{
+    SlotQueue queue;
+    queue.setSlots(1);
+    ASSERT_TRUE(std::holds_alternative<SlotGranted>(queue.offer(request(1), Start)));
+    ASSERT_TRUE(std::holds_alternative<SlotAwaited>(queue.offer(request(2, 2), Start)));
+    ASSERT_TRUE(std::holds_alternative<SlotAwaited>(queue.offer(request(3, 2, true), Start)));
+    ASSERT_TRUE(std::holds_alternative<SlotAwaited>(queue.offer(request(4, 0), Start)));
+    EXPECT_EQ(queue.finished(1, 10ms, Start).start, std::vector<std::uint64_t>{ 4 });
+    EXPECT_EQ(queue.finished(4, 10ms, Start).start, std::vector<std::uint64_t>{ 3 });
+    EXPECT_EQ(queue.finished(3, 10ms, Start).start, std::vector<std::uint64_t>{ 2 });
+}
+
+/** Guards against requests that are held although they can't finish any more. */
+TEST(SlotQueueTest, RequestsThatCantFinishAreRefusedAtOnce)
+{
+    SlotQueue queue;
+    queue.setSlots(1);
+    (void)queue.offer(request(1), Start);
+    (void)queue.finished(1, 100ms, Start);
+    ASSERT_TRUE(std::holds_alternative<SlotGranted>(queue.offer(request(2), Start)));
+    EXPECT_TRUE(std::holds_alternative<SlotRefused>(queue.offer(request(3, 0, false, 50ms), Start)));
+    ASSERT_TRUE(std::holds_alternative<SlotAwaited>(queue.offer(request(4, 0, false, 300ms), Start)));
+    EXPECT_TRUE(queue.schedule(Start + 100ms).refuse.empty());
+    EXPECT_EQ(queue.schedule(Start + 160ms).refuse, std::vector<std::uint64_t>{ 4 });
+    EXPECT_FALSE(queue.remove(4));
+}
+
+/** Guards against a leaving upstream that keeps a queue. */
+TEST(SlotQueueTest, WithoutSlotsEverythingIsRefused)
+{
+    SlotQueue queue;
+    queue.setSlots(1);
+    (void)queue.offer(request(1), Start);
+    (void)queue.offer(request(2), Start);
+    queue.setSlots(0);
+    EXPECT_EQ(queue.refuseAll().refuse, std::vector<std::uint64_t>{ 2 });
+    EXPECT_TRUE(std::holds_alternative<SlotRefused>(queue.offer(request(3), Start)));
+    EXPECT_EQ(queue.running(), 1U);
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/tests/treeadmissiontest.cpp
@@ -0,0 +1,145 @@
+#include "mesh/decisions/treeadmission.h"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const ServiceName Reminders("reminders");
+const ServiceName Catalogue("catalogue");
+const RouteName Browse("browse/catalogue");
+const RouteName Order("order/orders");
+const RouteName Check("check/reminders");
+const RouteName Occasions("occasions/occasions");
+
+/** A load at four entry nodes. */
+struct LoadCase {
+    const char *name;
+    /** Slots of the smallest service. */
+    double slots;
+    /** Least and greatest admitted part of each kind, in the order browse, order, check, occasions. */
+    std::array<std::pair<double, double>, 4> admitted;
+};
+
+void PrintTo(const LoadCase &it, std::ostream *out)
+{
+    *out << it.name;
+}
+
+class TreeAdmissionTest : public ::testing::TestWithParam<LoadCase>
+{
+};
+
+struct Kind {
+    RouteName route;
+    std::uint32_t rank;
+    double rate;
+    std::vector<ServiceWork> work;
+};
+
+/** The kinds of the Vienna site at its usual rates, a quarter of which enters at each node. */
+const std::vector<Kind> Kinds{
+    { Browse, 4, 47, { { Catalogue, 450'000 }, { Reminders, 240'000 } } },
+    { Order, 0, 19, { { ServiceName("orders"), 300'000 }, { Reminders, 120'000 } } },
+    { Check, 2, 19, { { Reminders, 48'000 } } },
+    { Occasions, 4, 19, { { ServiceName("occasions"), 300'000 } } },
+};
+
+} // namespace
+
+/**
+ * Guards against shedding where work is already lost: with too few slots at the smallest service, the most urgent trees keep theirs, the
+ * least urgent ones share the rest, those that don't reach the service aren't touched, and what is admitted fits.
+ */
+TEST_P(TreeAdmissionTest, SlotsAreDividedByRank)
+{
+    constexpr std::size_t Nodes = 4;
+    constexpr Duration Length = 6s;
+    constexpr Duration Step = 1ms;
+    std::array<TreeAdmission, Nodes> nodes;
+    for (auto &node : nodes) {
+        for (const auto &kind : Kinds) {
+            node.learn(kind.route, kind.work);
+        }
+    }
+    std::array<std::array<int, 2>, 4> counts{}; // admitted, asked, of the second half
+    double busySeconds = 0;
+    std::array<double, 4> due{};
+    std::size_t next = 0;
+    for (Duration elapsed{}; elapsed < Length; elapsed += Step) {
+        const TimePoint now = TimePoint{ 1h } + elapsed;
+        if (elapsed % TreeAdmission::AdjustInterval == 0ms) {
+            for (std::size_t n = 0; n < Nodes; ++n) {
+                for (std::size_t other = 0; other < Nodes; ++other) {
+                    if (n != other) {
+                        nodes.at(n).reported(NodeName(std::to_string(other)), nodes.at(other).demand(), now);
+                    }
+                }
+                nodes.at(n).setCapacity(Reminders, { GetParam().slots, GetParam().slots, 20ms });
+                for (const char *it : { "catalogue", "orders", "occasions" }) {
+                    nodes.at(n).setCapacity(ServiceName(it), { 400, 100, 0ms });
+                }
+                nodes.at(n).adjust(now);
+            }
+        }
+        for (std::size_t n = 0; n < Kinds.size(); ++n) {
+            for (due.at(n) += Kinds[n].rate * Nodes * std::chrono::duration<double>(Step).count(); due.at(n) >= 1; due.at(n) -= 1) {
+                const bool admitted = !nodes.at(next++ % Nodes).admit(Kinds[n].route, Kinds[n].rank, now);
+                if (elapsed < Length / 2) {
+                    continue;
+                }
+                counts.at(n)[0] += admitted ? 1 : 0;
+                ++counts.at(n)[1];
+                for (const auto &it : Kinds[n].work) {
+                    busySeconds += admitted && it.service == Reminders ? it.microseconds / 1e6 : 0;
+                }
+            }
+        }
+    }
+    for (std::size_t n = 0; n < Kinds.size(); ++n) {
+        const double part = static_cast<double>(counts.at(n)[0]) / counts.at(n)[1];
+        EXPECT_GE(part, GetParam().admitted.at(n).first) << Kinds[n].route.text();
+        EXPECT_LE(part, GetParam().admitted.at(n).second) << Kinds[n].route.text();
+    }
+    EXPECT_LE(busySeconds, GetParam().slots * 3 * 1.05) << "more is admitted than fits";
+}
+
+INSTANTIATE_TEST_SUITE_P(Loads,
+                         TreeAdmissionTest,
+                         ::testing::Values(LoadCase{ "Enough", 80, { { { 1, 1 }, { 1, 1 }, { 1, 1 }, { 1, 1 } } } },
+                                           LoadCase{ "HalfLeft", 38, { { { 0.4, 0.6 }, { 1, 1 }, { 1, 1 }, { 1, 1 } } } },
+                                           LoadCase{ "QuarterLeft", 19, { { { 0.05, 0.2 }, { 1, 1 }, { 1, 1 }, { 1, 1 } } } },
+                                           LoadCase{ "EighthLeft", 10.5, { { { 0, 0.05 }, { 1, 1 }, { 0, 0.5 }, { 1, 1 } } } }),
+                         [](const auto &it) {
+                             return std::string(it.param.name);
+                         });
+
+/** Guards against routes that stay shut after the service that their trees reached is gone. */
+TEST(TreeAdmissionTest, AServiceThatIsGoneIsForgotten)
+{
+    TreeAdmission admission;
+    admission.learn(Browse, Kinds[0].work);
+    admission.setCapacity(Catalogue, { 400, 0, 0ms });
+    int admitted = 0;
+    for (int n = 0; n < 40000; ++n) {
+        const TimePoint now = TimePoint{ 1h } + n * 10ms;
+        if (n % 10 == 0) {
+            admission.setCapacity(Catalogue, { 400, 0, 0ms });
+            admission.adjust(now);
+        }
+        if (!admission.admit(Browse, 4, now)) {
+            admission.learn(Browse, { { Catalogue, 450'000 } });
+            admitted = n >= 39000 ? admitted + 1 : admitted;
+        }
+    }
+    EXPECT_EQ(admitted, 1000);
+}
+
+} // namespace Pimentohollow
--- a/modules/messages/codec/framecodec.cpp
+++ b/modules/messages/codec/framecodec.cpp
@@ -1,9 +1,9 @@
 #include "messages/codec/framecodec.h"
 
+#include "messages/gossip/compactarchive.h"
+
 #include <cassert>
-#include <cereal/archives/portable_binary.hpp>
 #include <fmt/format.h>
-#include <sstream>
 
 namespace Pimentohollow
 {
@@ -24,12 +24,10 @@
 
 std::string payloadOf(const PeerMessage &message)
 {
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(message);
-    }
-    return std::move(stream).str();
+    std::string payload;
+    CompactOutputArchive archive(payload);
+    archive(message);
+    return payload;
 }
 
 } // namespace
@@ -67,8 +65,8 @@
         return failure(ErrorKind::Unauthorized, "frame.decode", "wrong tag");
     }
     try {
-        std::istringstream stream{ std::string(payload) };
-        cereal::PortableBinaryInputArchive archive(stream);
+        // Refuses a length beyond the end of the frame before anything is allocated.
+        CompactInputArchive archive(payload);
         PeerMessage message;
         archive(message);
         return message;
