--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -36,6 +36,8 @@
 /** An attempt without an answer is repeated elsewhere after this many times the usual time to an answer. */
 constexpr double PatienceFactor = 5;
 constexpr std::chrono::milliseconds LeastPatience(120);
+/** Placements that are logged; all of them would be most of a busy node's output. */
+constexpr unsigned PlacedLinesPerSecond = 10;
 /** Heads of a request and its answer between nodes, about. */
 constexpr std::size_t HeadBytes = 450;
 /** Weight of one answer in the mean time to an answer. */
@@ -143,7 +145,13 @@
         constexpr double Milli = 1000;
         const AccountLimit limit{ entry.account->milliRate / Milli, static_cast<double>(entry.account->burst) };
         if (const auto wait = m_environment.accounts.admit(entry.account->name, limit, now)) {
-            return refuse(entry, TooManyRequests, "rate_exceeded", *wait);
+            const auto &account = entry.account->name;
+            const auto inputs = fmt::format("share={:.3f} level={:.1f} rate={:.1f} burst={:.0f}",
+                                            m_environment.accounts.share(account, now),
+                                            m_environment.accounts.level(account),
+                                            limit.ratePerSecond,
+                                            limit.burst);
+            return refuse(entry, TooManyRequests, "rate_exceeded", *wait, inputs);
         }
     }
     const auto *service = m_split.next(*entry.route);
@@ -154,7 +162,7 @@
     entry.tree = RouteName(entry.route->name.text() + '/' + service->text());
     if (!entry.origin.inner) {
         if (const auto wait = m_environment.trees.admit(entry.tree, entry.origin.rank, now)) {
-            return refuse(entry, ServiceUnavailable, "tree_shed", *wait);
+            return refuse(entry, ServiceUnavailable, "tree_shed", *wait, m_environment.trees.describe(entry.tree, entry.origin.rank));
         }
     }
     m_environment.retries.recordRequest(entry.service, now);
@@ -174,6 +182,8 @@
         }
         const TimePoint startedAt = m_environment.loop.clock().now();
         ++attempts.offers;
+        attempts.lastNode = way->node;
+        attempts.reportAge = way->link ? startedAt - way->link->loadAt() : Duration{};
         attempts.last = attempt(*way, request, entry, pending, attempts.mayHaveRun);
         learn(entry, attempts.last, startedAt);
         record(way->node, attempts);
@@ -192,6 +202,13 @@
         if (reached && !mayRepeat(entry, attempts)) {
             break;
         }
+        if (reached) {
+            Log.info("repeated",
+                     { { "request", entry.requestId },
+                       { "outcome", std::string(RunOutcomeNames.name(attempts.last.outcome)) },
+                       { "node", attempts.lastNode.text() },
+                       { "may_have_run", attempts.mayHaveRun ? "yes" : "no" } });
+        }
     }
     return conclude(entry, std::move(attempts));
 }
@@ -351,20 +368,46 @@
     m_environment.metrics.counter("pimentohollow_requests_total", { { "outcome", RunOutcomeNames.name(attempts.last.outcome) } }).add();
     if (attempts.last.outcome == RunOutcome::Answered) {
         m_environment.metrics.histogram("pimentohollow_request_seconds").record(m_environment.loop.clock().now() - entry.arrivedAt);
+        logPlaced(entry, attempts);
         return std::move(attempts.last.response);
     }
     const bool none = attempts.offers == 0;
     const auto reason = none ? std::string_view("no_upstream") : RunOutcomeNames.name(attempts.last.outcome);
+    const auto inputs = fmt::format("node={} offers={} report_age_ms={} may_have_run={}",
+                                    attempts.lastNode.text(),
+                                    attempts.offers,
+                                    std::chrono::duration_cast<std::chrono::milliseconds>(attempts.reportAge).count(),
+                                    attempts.mayHaveRun ? "yes" : "no");
     if (!attempts.mayHaveRun) {
         const Duration wait = attempts.retryAfterMilliseconds == 0 ? Duration(UsualReturn)
                                                                    : Duration(std::chrono::milliseconds(attempts.retryAfterMilliseconds));
         return refuse(
             entry, ServiceUnavailable, reason, wait + std::chrono::duration_cast<Duration>(wait * (m_environment.random.unit() / 2)));
     }
-    return refuse(entry, attempts.last.outcome == RunOutcome::TimedOut ? GatewayTimeout : BadGateway, reason);
+    return refuse(entry, attempts.last.outcome == RunOutcome::TimedOut ? GatewayTimeout : BadGateway, reason, {}, inputs);
+}
+
+void EntryPath::logPlaced(const Entry &entry, const Attempts &attempts)
+{
+    const TimePoint now = m_environment.loop.now();
+    if (now - m_placedSince >= std::chrono::seconds(1)) {
+        m_placedSince = now;
+        m_placedLogged = 0;
+    }
+    if (m_placedLogged++ >= PlacedLinesPerSecond) {
+        return;
+    }
+    Log.info("placed",
+             { { "request", entry.requestId },
+               { "status", std::to_string(attempts.last.response.status) },
+               { "node", attempts.lastNode.text() },
+               { "offers", std::to_string(attempts.offers) },
+               { "report_age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(attempts.reportAge).count()) },
+               { "rules", std::to_string(entry.rules->version()) } });
 }
 
-HttpResponseMessage EntryPath::refuse(const Entry &entry, std::uint16_t status, std::string_view reason, Duration retryAfter)
+HttpResponseMessage
+EntryPath::refuse(const Entry &entry, std::uint16_t status, std::string_view reason, Duration retryAfter, const std::string &inputs)
 {
     m_environment.metrics.counter("pimentohollow_refusals_total", { { "reason", reason } }).add();
     const auto ms = [](Duration duration) {
@@ -380,7 +423,8 @@
                { "rank", std::to_string(entry.origin.rank) },
                { "rules", entry.rules ? std::to_string(entry.rules->version()) : "" },
                { "held_ms", ms(m_environment.loop.clock().now() - entry.arrivedAt) },
-               { "retry_after_ms", ms(retryAfter) } });
+               { "retry_after_ms", ms(retryAfter) },
+               { "inputs", inputs } });
     HttpResponseMessage response;
     response.status = status;
     response.headers.push_back({ "Content-Type", "text/plain" });
--- a/modules/mesh/callers/entrypath.h
+++ b/modules/mesh/callers/entrypath.h
@@ -82,6 +82,9 @@
         std::vector<NodeName> refusedBy;
         /** Nodes whose upstreams may have got it; the route bounds their number. */
         std::vector<NodeName> sentTo;
+        /** The node of the last attempt, and the age of the load report by which it was chosen. */
+        NodeName lastNode;
+        Duration reportAge{};
         bool mayHaveRun = false;
         RunReply last;
         /** Shortest time after which a node expects room. */
@@ -99,11 +102,17 @@
     bool mayRepeat(const Entry &entry, const Attempts &attempts);
     TimePoint attemptDeadline(const Entry &entry) const;
     HttpResponseMessage conclude(const Entry &entry, Attempts &&attempts);
-    HttpResponseMessage refuse(const Entry &entry, std::uint16_t status, std::string_view reason, Duration retryAfter = {});
+    /** @param inputs what decided it, for the log */
+    HttpResponseMessage
+    refuse(const Entry &entry, std::uint16_t status, std::string_view reason, Duration retryAfter = {}, const std::string &inputs = {});
+    void logPlaced(const Entry &entry, const Attempts &attempts);
     void learn(const Entry &entry, const RunReply &result, TimePoint startedAt);
 
     Environment m_environment;
     WeightedSplit m_split;
+    /** Placements logged in the second of m_placedSince. */
+    unsigned m_placedLogged = 0;
+    TimePoint m_placedSince{};
     UpstreamChooser m_chooser;
     /** Moving averages over the answers of a route. */
     struct UsualAnswer {
--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -121,6 +121,12 @@
     return share(name, account);
 }
 
+double AccountAllowance::level(const AccountName &name) const
+{
+    const auto found = m_accounts.find(name);
+    return found == m_accounts.end() ? 0 : found->second.level;
+}
+
 AccountAllowance::Account &AccountAllowance::refreshed(const AccountName &name, const AccountLimit &limit, TimePoint now)
 {
     removeSilentPeers(now);
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -59,6 +59,8 @@
 
     /** This node's share of the demand for @p account, 0 to 1. */
     double share(const AccountName &account, TimePoint now);
+    /** Tokens that the fleet's bucket of @p account holds, by this node's knowledge. */
+    double level(const AccountName &account) const;
 
 private:
     struct Account {
--- a/modules/mesh/decisions/treeadmission.cpp
+++ b/modules/mesh/decisions/treeadmission.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <fmt/format.h>
+#include <numeric>
 
 namespace Pimentohollow
 {
@@ -131,6 +133,29 @@
     return result;
 }
 
+std::string TreeAdmission::describe(const RouteName &route, std::uint32_t rank) const
+{
+    std::string result;
+    const auto work = m_work.find(route);
+    if (work == m_work.end()) {
+        return result;
+    }
+    for (const auto &[name, seconds] : work->second) {
+        const auto found = m_services.find(name);
+        if (found == m_services.end() || found->second.shares[indexOf(rank)] >= 1) {
+            continue;
+        }
+        const auto &service = found->second;
+        result += fmt::format("{}{}: slots={:.0f} demand={:.1f} share={:.2f}",
+                              result.empty() ? "" : ", ",
+                              name.text(),
+                              service.capacity.slots,
+                              std::accumulate(service.total.begin(), service.total.end(), 0.0),
+                              service.shares[indexOf(rank)]);
+    }
+    return result;
+}
+
 double TreeAdmission::admittedShare(const ServiceName &service, std::uint32_t rank) const
 {
     const auto found = m_services.find(service);
--- a/modules/mesh/decisions/treeadmission.h
+++ b/modules/mesh/decisions/treeadmission.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -57,6 +58,8 @@
 
     /** This node's demand for the services that are more than half busy, for the others. */
     std::map<ServiceName, RankDemand> demand() const;
+    /** The services that @p route reaches with their slots, demand and admitted share for @p rank, for the log. */
+    std::string describe(const RouteName &route, std::uint32_t rank) const;
     /** Share of the requests of @p rank whose trees reach @p service that are admitted. */
     double admittedShare(const ServiceName &service, std::uint32_t rank) const;
 
--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -54,9 +54,16 @@
         return m_load;
     }
 
+    /** When load() was reported. */
+    TimePoint loadAt() const
+    {
+        return m_loadAt;
+    }
+
     void setLoad(const LoadReport &load)
     {
         m_load = load;
+        m_loadAt = m_loop.now();
         m_sentSinceLoad = 0;
     }
 
@@ -97,6 +104,7 @@
     std::uint64_t m_nextCall = 0;
     std::unordered_map<std::uint64_t, ResultHandler> m_pending;
     LoadReport m_load;
+    TimePoint m_loadAt{};
     std::uint32_t m_sentSinceLoad = 0;
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -111,6 +111,7 @@
     if (auto opened = m_callers.listen(m_environment.settings.callerListener); !opened) {
         return opened;
     }
+    registerGauges();
     m_loop.spawn([this] {
         followRules();
     });
@@ -123,6 +124,29 @@
     return {};
 }
 
+void MeshNode::registerGauges()
+{
+    auto &metrics = m_environment.metrics;
+    metrics.gauge("pimentohollow_slots", [this] {
+        return static_cast<double>(m_runner.load().slots);
+    });
+    metrics.gauge("pimentohollow_running", [this] {
+        return static_cast<double>(m_runner.load().running);
+    });
+    metrics.gauge("pimentohollow_waiting", [this] {
+        return static_cast<double>(m_runner.load().waiting);
+    });
+    metrics.gauge("pimentohollow_peers_reachable", [this] {
+        return static_cast<double>(reachablePeers());
+    });
+    metrics.gauge("pimentohollow_rules_version", [this] {
+        return static_cast<double>(rulesVersion());
+    });
+    metrics.gauge("pimentohollow_log_lines_dropped", [] {
+        return static_cast<double>(Logger::droppedLines());
+    });
+}
+
 void MeshNode::shutDown()
 {
     if (std::exchange(m_closing, true)) {
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -75,6 +75,7 @@
     Duration statusInterval() const;
     Duration suspectSilence() const;
 
+    void registerGauges();
     void followRules();
     void followDirectory();
     void publish();
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -475,6 +475,17 @@
     if (result.outcome == RunOutcome::Leaving) {
         return;
     }
+    if (result.outcome != RunOutcome::Answered) {
+        const std::string *id = findHeader(job.frame.request.headers, m_environment.headers.requestId);
+        const auto held = std::chrono::duration_cast<std::chrono::milliseconds>(m_environment.loop.clock().now() - job.startedAt).count();
+        Log.info("run_failed",
+                 { { "request", id == nullptr ? std::string() : *id },
+                   { "outcome", std::string(RunOutcomeNames.name(result.outcome)) },
+                   { "upstream", m_incarnation },
+                   { "run_ms", std::to_string(held) },
+                   { "running", std::to_string(m_queue.running()) },
+                   { "waiting", std::to_string(m_queue.waiting()) } });
+    }
     m_quality += QualityWeight * (qualityOf(result) - m_quality);
     if (result.outcome == RunOutcome::Answered || result.outcome == RunOutcome::TimedOut) {
         const double seconds = std::chrono::duration<double>(m_environment.loop.clock().now() - job.startedAt).count();
