--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::seconds DeadPeerTime(60);
 /** The node goes on to serve for this long after its stop was asked for: callers take two failed readiness checks to turn away. */
 constexpr std::chrono::milliseconds LeastShutDownTime(2600);
+/** Other nodes may use the upstream for this long after the stop was asked for: the node has to live longer for its own callers anyway. */
+constexpr std::chrono::milliseconds LastRunsTime(1900);
 /** Kept back from the grace for the last answers. */
 constexpr std::chrono::milliseconds ShutDownMargin(300);
 /** Share of the fleet's allowance of repeats that nodes use; the rest covers repeats of whole subtrees. */
@@ -153,8 +155,6 @@
         return;
     }
     m_closingSince = m_loop.now();
-    m_runner.close();
-    sendStatus();
     Log.info("shutdown_started", { { "active", std::to_string(m_activeRequests + m_runner.active()) } });
     m_loop.spawn([this] {
         finishShutDown();
@@ -662,6 +662,9 @@
 {
     const TimePoint latest = m_closingSince + m_environment.settings.shutdownGrace - ShutDownMargin;
     constexpr std::chrono::milliseconds CheckInterval(20);
+    m_loop.sleepUntil(m_closingSince + LastRunsTime);
+    m_runner.close();
+    sendStatus();
     m_loop.sleepUntil(m_closingSince + LeastShutDownTime);
     // New callers find no listener and go to another node at once; a request that crosses the close of an idle connection was not read.
     m_callers.close();
