--- a/modules/mesh/tests/accountallowancetest.cpp
+++ b/modules/mesh/tests/accountallowancetest.cpp
@@ -2,6 +2,7 @@
 #include "core/random.h"
 
 #include <array>
+#include <cmath>
 #include <deque>
 #include <gtest/gtest.h>
 #include <memory>
@@ -35,11 +36,6 @@
     double leastAdmitted;
 };
 
-void PrintTo(const DemandCase &it, std::ostream *out)
-{
-    *out << it.name;
-}
-
 class AccountAllowanceTest : public ::testing::TestWithParam<DemandCase>
 {
 };
@@ -93,9 +89,9 @@
             }
         }
         bucket = std::min(Limit.burst, bucket + Limit.ratePerSecond * std::chrono::duration<double>(Step).count());
-        double expected = (second ? demand.after : demand.before) * std::chrono::duration<double>(Step).count();
-        for (; expected > 0; expected -= 1) {
-            if (random.unit() >= expected) {
+        const double expected = (second ? demand.after : demand.before) * std::chrono::duration<double>(Step).count();
+        for (int n = 0; n < std::ceil(expected); ++n) {
+            if (random.unit() >= expected - n) {
                 continue;
             }
             const bool skewed = second && random.unit() < demand.skew;
--- a/modules/mesh/tests/decisionstest.cpp
+++ b/modules/mesh/tests/decisionstest.cpp
@@ -27,11 +27,6 @@
     std::size_t chosen;
 };
 
-void PrintTo(const PlacementCase &it, std::ostream *out)
-{
-    *out << it.name;
-}
-
 UpstreamCandidate upstream(std::uint32_t load, double runSeconds, double quality, bool reachable = true, bool accepting = true)
 {
     UpstreamCandidate result;
--- a/modules/mesh/tests/treeadmissiontest.cpp
+++ b/modules/mesh/tests/treeadmissiontest.cpp
@@ -28,11 +28,6 @@
     std::array<std::pair<double, double>, 4> admitted;
 };
 
-void PrintTo(const LoadCase &it, std::ostream *out)
-{
-    *out << it.name;
-}
-
 class TreeAdmissionTest : public ::testing::TestWithParam<LoadCase>
 {
 };
