--- a/modules/async/net/httpconnection.cpp
+++ b/modules/async/net/httpconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/reading/bodyreader.h"
 #include "http/reading/messagehead.h"
+#include "http/reading/responsehead.h"
 #include "http/rules/hopbyhop.h"
 
 #include <charconv>
@@ -13,8 +14,6 @@
 {
 
 constexpr std::size_t MaximumHeadBytes = std::size_t{ 64 } * 1024;
-constexpr int MaximumInterimAnswers = 8;
-constexpr std::uint16_t FirstFinalStatus = 200;
 constexpr std::uint16_t NoContent = 204;
 constexpr std::uint16_t NotModified = 304;
 
@@ -40,24 +39,6 @@
     AsyncSocket &m_socket;
 };
 
-ReadResult<ResponseHead> readFinalHead(ByteStream &stream, TimePoint deadline)
-{
-    for (int n = 0; n <= MaximumInterimAnswers; ++n) {
-        const auto text = stream.readHead(MaximumHeadBytes, deadline);
-        if (!text) {
-            return tl::unexpected(text.error());
-        }
-        auto head = parseResponseHead(*text);
-        if (!head) {
-            return tl::unexpected(ReadFault::Malformed);
-        }
-        if (head->status >= FirstFinalStatus) {
-            return std::move(*head);
-        }
-    }
-    return tl::unexpected(ReadFault::Malformed);
-}
-
 /** The seconds of "Keep-Alive: timeout=5". */
 std::optional<Duration> idleLimitOf(const HttpHeaders &headers)
 {
@@ -86,7 +67,7 @@
 ReadResult<ReceivedResponse>
 HttpConnection::readResponse(bool headRequest, std::size_t maximumBodyBytes, bool untilClose, TimePoint deadline)
 {
-    auto head = readFinalHead(m_stream, deadline);
+    auto head = readFinalHead(m_stream, MaximumHeadBytes, deadline);
     if (!head) {
         return tl::unexpected(head.error());
     }
--- a/modules/http/upstream/upstreamexchange.cpp
+++ b/modules/http/upstream/upstreamexchange.cpp
@@ -1,6 +1,7 @@
 #include "http/upstream/upstreamexchange.h"
 
 #include "http/reading/bodyreader.h"
+#include "http/reading/responsehead.h"
 #include "http/rules/hopbyhop.h"
 #include "http/server/messagewriter.h"
 
@@ -10,26 +11,6 @@
 namespace
 {
 
-ReadResult<ResponseHead> readFinalHead(ByteStream &stream, std::size_t maximumBytes, TimePoint deadline)
-{
-    constexpr int MaximumInterimAnswers = 8;
-    constexpr std::uint16_t FirstFinalStatus = 200;
-    for (int n = 0; n <= MaximumInterimAnswers; ++n) {
-        const auto text = stream.readHead(maximumBytes, deadline);
-        if (!text) {
-            return tl::unexpected(text.error());
-        }
-        auto head = parseResponseHead(*text);
-        if (!head) {
-            return tl::unexpected(ReadFault::Malformed);
-        }
-        if (head->status >= FirstFinalStatus) {
-            return std::move(*head);
-        }
-    }
-    return tl::unexpected(ReadFault::Malformed);
-}
-
 /** Without Content-Length or chunked coding the end of a body is the end of the connection, which may also be a crash. */
 bool endIsCertain(const BodyFraming &framing, const ResponseHead &head, bool noBody)
 {
--- a/testing/standins/mesh/rowstore.cpp
+++ b/testing/standins/mesh/rowstore.cpp
@@ -1,11 +1,10 @@
 #include "standins/mesh/rowstore.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
+#include "http/rules/base64.h"
+
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
 #include <set>
 #include <sstream>
@@ -26,25 +25,6 @@
 constexpr Duration FeedPause = 5ms;
 constexpr Duration LongSilence = 1h;
 
-std::string encoded(const std::string &bytes)
-{
-    std::ostringstream out;
-    Poco::Base64Encoder encoder(out);
-    encoder.rdbuf()->setLineLength(0);
-    encoder << bytes;
-    encoder.close();
-    return out.str();
-}
-
-std::string decoded(const std::string &text)
-{
-    std::istringstream in(text);
-    Poco::Base64Decoder decoder(in);
-    std::string bytes;
-    Poco::StreamCopier::copyToString(decoder, bytes);
-    return bytes;
-}
-
 HttpResponseMessage jsonResponse(const Poco::JSON::Object &object)
 {
     std::ostringstream out;
@@ -141,7 +121,7 @@
         object->set("table", key.first);
         object->set("part", "");
         object->set("key", key.second);
-        object->set("value", encoded(row.value));
+        object->set("value", encodeBase64(row.value));
         object->set("ver", row.version);
         rows.add(object);
     }
@@ -177,7 +157,7 @@
             if (it->removed) {
                 object->set("removed", true);
             } else {
-                object->set("value", encoded(m_rows.at({ it->table, it->key }).value));
+                object->set("value", encodeBase64(m_rows.at({ it->table, it->key }).value));
             }
             rows.add(object);
         }
@@ -207,7 +187,7 @@
     const auto puts = object->getArray("puts");
     for (unsigned n = 0; n < puts->size(); ++n) {
         const auto row = puts->getObject(n);
-        put(keyOf(row).first, keyOf(row).second, decoded(row->getValue<std::string>("value")));
+        put(keyOf(row).first, keyOf(row).second, decodeBase64(row->getValue<std::string>("value")));
     }
     const auto removals = object->getArray("remove");
     for (unsigned n = 0; n < removals->size(); ++n) {
