Never send an order again after an early time limit

Cause (found by reading): the runner beside the entry counts its limit from the start of the round of events, the entry from the clock; on a node short of processor time the runner's 'timed out' came before the entry's deadline, which was taken for an attempt given up for a paid repeat, also for requests that may run once. Ruled out: remote nodes, whose limit always ends later. A paid repeat is now marked where it is granted.

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -184,7 +184,8 @@
         ++attempts.offers;
         attempts.lastNode = way->node;
         attempts.reportAge = way->link ? startedAt - way->link->loadAt() : Duration{};
-        attempts.last = attempt(*way, request, entry, pending, attempts.mayHaveRun);
+        attempts.repeatPaid = false;
+        attempts.last = attempt(*way, request, entry, pending, attempts);
         learn(entry, attempts.last, startedAt);
         record(way->node, attempts);
         if (attempts.last.outcome == RunOutcome::Answered && attempts.last.response.status < FirstServerError) {
@@ -194,9 +195,8 @@
         if (attempts.last.outcome == RunOutcome::Poisonous || attempts.last.callFailed) {
             break;
         }
-        const bool impatient = attempts.last.outcome == RunOutcome::TimedOut && m_environment.loop.clock().now() < entry.deadline;
-        if (impatient) {
-            continue; // the repeat was paid for when the attempt was given up
+        if (attempts.repeatPaid) {
+            continue;
         }
         const bool reached = attempts.last.outcome == RunOutcome::Rejected || !neverRan(attempts.last.outcome);
         if (reached && !mayRepeat(entry, attempts)) {
@@ -270,9 +270,10 @@
     return std::move(ways[*index]);
 }
 
-RunReply
-EntryPath::attempt(const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, bool repeat)
+RunReply EntryPath::attempt(
+    const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, Attempts &attempts)
 {
+    const bool repeat = attempts.mayHaveRun;
     RunFrame frame;
     frame.service = entry.service;
     frame.route = entry.route->name;
@@ -312,6 +313,7 @@
         const bool repeatable = entry.route->idempotent && !repeat && entry.route->maximumAttempts > 1;
         if (repeatable && tryRepeat(entry)) {
             m_environment.metrics.counter("pimentohollow_impatient_repeats_total").add();
+            attempts.repeatPaid = true;
             state->pending = nullptr;
             way.link ? way.link->cancel(call) : m_environment.runner.cancel(call);
             return withoutAnswer(RunOutcome::TimedOut);
--- a/modules/mesh/callers/entrypath.h
+++ b/modules/mesh/callers/entrypath.h
@@ -86,6 +86,8 @@
         NodeName lastNode;
         Duration reportAge{};
         bool mayHaveRun = false;
+        /** The last attempt was given up for a repeat that the allowance has granted; only for requests that may run twice. */
+        bool repeatPaid = false;
         RunReply last;
         /** Shortest time after which a node expects room. */
         std::uint32_t retryAfterMilliseconds = 0;
@@ -97,7 +99,8 @@
     PlacedRequest placedRequest(const Entry &entry) const;
     std::optional<UpstreamWay> choose(const Entry &entry, const Attempts &attempts);
     static void record(const NodeName &node, Attempts &attempts);
-    RunReply attempt(const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, bool repeat);
+    RunReply
+    attempt(const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, Attempts &attempts);
     static std::uint32_t repeatRank(const Entry &entry);
     bool tryRepeat(const Entry &entry);
     bool mayRepeat(const Entry &entry, const Attempts &attempts);
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -119,7 +119,6 @@
     std::map<std::string, std::shared_ptr<MeshLink>> m_peers;
     /** Connections that other nodes made, with the tickets of their calls. */
     std::map<Inbound, std::map<std::uint64_t, std::uint64_t>> m_inbound;
-    /** Work that nodes of a service reported for root routes since the last adjustment. */
     TimePoint m_lastStatus{};
     TimePoint m_lastAdjust{};
     TimePoint m_lastRulesRequest{};
