--- a/modules/configuration/settings/nodesettings.h
+++ b/modules/configuration/settings/nodesettings.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "parsing/finding.h"
-#include "parsing/endpointscalar.h"
 #include "configuration/settings/secret.h"
 #include "core/clock.h"
 #include "core/logger.h"
 #include "core/names.h"
+#include "parsing/endpointscalar.h"
+#include "parsing/finding.h"
 
 #include <cstddef>
 #include <functional>
--- a/modules/node/fleet/fleetnode.h
+++ b/modules/node/fleet/fleetnode.h
@@ -2,8 +2,8 @@
 
 #include "configuration/configuration.h"
 #include "node/node.h"
-#include "storage/storage.h"
 #include "runtime/runtime.h"
+#include "storage/storage.h"
 
 namespace Pimentohollow
 {
--- a/modules/parsing/endpointscalar.h
+++ b/modules/parsing/endpointscalar.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "parsing/scalars.h"
 #include "core/ipendpoint.h"
+#include "parsing/scalars.h"
 
 namespace Pimentohollow
 {
--- a/modules/parsing/fieldreader.h
+++ b/modules/parsing/fieldreader.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/enumtable.h"
 #include "parsing/finding.h"
 #include "parsing/scalars.h"
-#include "core/enumtable.h"
 
 #include <map>
 #include <optional>
--- a/modules/parsing/fieldwriter.h
+++ b/modules/parsing/fieldwriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "parsing/scalars.h"
 #include "core/enumtable.h"
+#include "parsing/scalars.h"
 
 #include <type_traits>
 #include <vector>
--- a/modules/quota/shares/sharerow.h
+++ b/modules/quota/shares/sharerow.h
@@ -3,8 +3,8 @@
 #include "core/error.h"
 #include "core/names.h"
 #include "messages/gossip/gossipupdate.h"
-#include "storage/interfaces/tableservice.h"
 #include "quota/bucket/quotaledger.h"
+#include "storage/interfaces/tableservice.h"
 
 #include <array>
 #include <cstdint>
--- a/modules/storage/tests/platformclienttest.cpp
+++ b/modules/storage/tests/platformclienttest.cpp
@@ -1,6 +1,6 @@
 #include "core/systemclock.h"
-#include "storage/storage.h"
 #include "standins/platform/standinhandlers.h"
+#include "storage/storage.h"
 #include "testcertificate.h"
 
 #include <atomic>
--- a/modules/storage/tests/platformcontracttest.cpp
+++ b/modules/storage/tests/platformcontracttest.cpp
@@ -1,6 +1,6 @@
 #include "core/systemclock.h"
-#include "storage/storage.h"
 #include "standins/platform/platformstandin.h"
+#include "storage/storage.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
