Bound the runs of a request by its route, and repeat none within the runner

Ruled out: the charge of subtrees alone. The nodes also use half of the fleet's ratio instead of 0.65 of it. RunsThatBreakOffAreBoundedByTheRoute: 7 runs before, 2 after.

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -217,6 +217,7 @@
 {
     const bool ran = !neverRan(attempts.last.outcome);
     attempts.mayHaveRun = attempts.mayHaveRun || ran;
+    attempts.runs += ran ? 1 : 0;
     auto &nodes = ran || attempts.last.outcome == RunOutcome::Rejected ? attempts.sentTo : attempts.refusedBy;
     if (std::find(nodes.begin(), nodes.end(), node) == nodes.end()) {
         nodes.push_back(node);
@@ -343,7 +344,7 @@
 bool EntryPath::mayRepeat(const Entry &entry, const Attempts &attempts)
 {
     const bool allowed = entry.route->idempotent || attempts.last.outcome == RunOutcome::Rejected;
-    if (!allowed) {
+    if (!allowed || attempts.runs >= std::max(1U, entry.route->maximumAttempts)) {
         return false;
     }
     const auto found = m_answers.find(entry.route->name);
--- a/modules/mesh/callers/entrypath.h
+++ b/modules/mesh/callers/entrypath.h
@@ -86,6 +86,8 @@
         NodeName lastNode;
         Duration reportAge{};
         bool mayHaveRun = false;
+        /** Attempts that may have run; the route bounds their number, wherever they were. */
+        std::uint32_t runs = 0;
         /** The last attempt was given up for a repeat that the allowance has granted; only for requests that may run twice. */
         bool repeatPaid = false;
         RunReply last;
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -32,7 +32,7 @@
 /** Kept back from the grace for the last answers. */
 constexpr std::chrono::milliseconds ShutDownMargin(300);
 /** Share of the fleet's allowance of repeats that nodes use; the rest covers repeats of whole subtrees. */
-constexpr double RetryShare = 0.65;
+constexpr double RetryShare = 0.5;
 const Logger Log("mesh");
 
 std::string keyOf(const DirectoryEntry &entry)
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -309,42 +309,30 @@
 RunReply UpstreamRunner::exchange(Job &job)
 {
     auto &loop = m_environment.loop;
-    bool reused = true;
     auto connection = takeIdle(job.frame.idempotent);
-    while (true) {
-        if (!connection) {
-            reused = false;
-            auto socket =
-                AsyncSocket::connect(loop, m_environment.settings.upstream, std::min(job.expiry, loop.clock().now() + ConnectTime));
-            if (!socket) {
-                return withoutAnswer(RunOutcome::Unreachable);
-            }
-            connection = std::make_unique<HttpConnection>(std::move(*socket));
+    if (!connection) {
+        auto socket = AsyncSocket::connect(loop, m_environment.settings.upstream, std::min(job.expiry, loop.clock().now() + ConnectTime));
+        if (!socket) {
+            return withoutAnswer(RunOutcome::Unreachable);
         }
-        if (job.cancelled) {
-            keep(std::move(connection), std::nullopt);
-            return withoutAnswer(RunOutcome::Leaving);
-        }
-        bool reusable = false;
-        bool unread = false;
-        std::optional<Duration> idleLimit;
-        job.connection = connection.get();
-        auto result = exchangeOn(*connection, job, reusable, unread, idleLimit);
-        job.connection = nullptr;
-        if (reusable) {
-            keep(std::move(connection), idleLimit);
-        }
-        const bool timeLeft = loop.clock().now() < job.expiry;
-        if (result.outcome == RunOutcome::Broken && reused && unread && job.frame.idempotent && !job.cancelled && timeLeft) {
-            // The upstream closed an idle connection at the moment of its reuse.
-            connection.reset();
-            continue;
-        }
-        return result;
+        connection = std::make_unique<HttpConnection>(std::move(*socket));
+    }
+    if (job.cancelled) {
+        keep(std::move(connection), std::nullopt);
+        return withoutAnswer(RunOutcome::Leaving);
+    }
+    bool reusable = false;
+    std::optional<Duration> idleLimit;
+    job.connection = connection.get();
+    auto result = exchangeOn(*connection, job, reusable, idleLimit);
+    job.connection = nullptr;
+    if (reusable) {
+        keep(std::move(connection), idleLimit);
     }
+    return result;
 }
 
-RunReply UpstreamRunner::exchangeOn(HttpConnection &connection, Job &job, bool &reusable, bool &unread, std::optional<Duration> &idleLimit)
+RunReply UpstreamRunner::exchangeOn(HttpConnection &connection, Job &job, bool &reusable, std::optional<Duration> &idleLimit)
 {
     const TimePoint deadline = job.expiry + AnswerSlack;
     const auto sent = connection.socket().writeAll(requestBytes(job), deadline);
@@ -355,7 +343,6 @@
     for (int n = 0; n <= MostStaleAnswers; ++n) {
         auto response = connection.readResponse(job.frame.request.method == "HEAD", MaximumAnswerBytes, true, deadline);
         if (!response) {
-            unread = n == 0 && response.error() == ReadFault::Truncated;
             return withoutAnswer(response.error() == ReadFault::Timeout ? RunOutcome::TimedOut : RunOutcome::Broken);
         }
         bool stale = false;
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -113,7 +113,7 @@
     void start(const JobPointer &job);
     void run(const JobPointer &job);
     RunReply exchange(Job &job);
-    RunReply exchangeOn(HttpConnection &connection, Job &job, bool &reusable, bool &unread, std::optional<Duration> &idleLimit);
+    RunReply exchangeOn(HttpConnection &connection, Job &job, bool &reusable, std::optional<Duration> &idleLimit);
     std::string requestBytes(Job &job);
     RunReply judge(ReceivedResponse &&response, const std::string &requestId, bool &stale);
     std::unique_ptr<HttpConnection> takeIdle(bool idempotent);
