Await the first request of connections opened while a node closes

Cause: the node reset connections that it hadn't accepted when it closed its listener, and those whose first request was still on its way. ShutdownAwaitsTheFirstRequestOfNewConnections shows it without chance: 14 requests lost before, none after.

--- a/modules/async/net/asynclistener.cpp
+++ b/modules/async/net/asynclistener.cpp
@@ -32,7 +32,7 @@
 
 AsyncListener::~AsyncListener()
 {
-    close();
+    release();
 }
 
 Result<void> AsyncListener::listen(const IpEndpoint &address)
@@ -61,6 +61,12 @@
 }
 
 void AsyncListener::close()
+{
+    handleEvents(0);
+    release();
+}
+
+void AsyncListener::release()
 {
     if (m_fd < 0) {
         return;
--- a/modules/async/net/asynclistener.h
+++ b/modules/async/net/asynclistener.h
@@ -18,6 +18,7 @@
 
     /** Port 0 picks a free one. Errors: Unavailable if the address can't be bound. */
     Result<void> listen(const IpEndpoint &address);
+    /** Accepts the connections that are established already: closing would reset them, and the requests that they carry. */
     void close();
 
     std::uint16_t port() const
@@ -27,6 +28,7 @@
 
 private:
     void handleEvents(std::uint32_t events) override;
+    void release();
 
     EventLoop &m_loop;
     Accepted m_accepted;
--- a/modules/async/net/asyncsocket.cpp
+++ b/modules/async/net/asyncsocket.cpp
@@ -109,8 +109,13 @@
     if (m_fd < 0 || m_closedByPeer) {
         return true;
     }
-    if (!m_readable) {
-        return false;
+    return m_readable && hasUnreadBytes();
+}
+
+bool AsyncSocket::hasUnreadBytes()
+{
+    if (m_fd < 0 || m_closedByPeer) {
+        return true;
     }
     char byte = 0;
     const auto count = ::recv(m_fd, &byte, 1, MSG_PEEK);
--- a/modules/async/net/asyncsocket.h
+++ b/modules/async/net/asyncsocket.h
@@ -63,6 +63,8 @@
 
     /** True if bytes or the end of the stream are waiting; asks the kernel only if an event came since the last read. */
     bool hasPendingBytes();
+    /** The same, but always asks the kernel: no event may have been handled yet for bytes that just came. */
+    bool hasUnreadBytes();
 
     /** Called when closedByPeer() becomes true. */
     void onClosedByPeer(std::function<void()> callback)
--- a/modules/mesh/callers/callersession.cpp
+++ b/modules/mesh/callers/callersession.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::seconds SendTime(10);
 /** Wait for a caller to close its direction after the last answer. */
 constexpr std::chrono::seconds LingerTime(1);
+/** Time for the first request of a new connection: a caller that connects has one to send. */
+constexpr std::chrono::milliseconds FirstRequestTime(300);
 const Logger Log("callers");
 
 RequestLimits limitsOf(const CallerBounds &bounds)
@@ -41,6 +43,7 @@
     : m_environment(environment)
     , m_connection(std::move(socket))
     , m_roomForMore(environment.loop)
+    , m_openedAt(environment.loop.now())
 {
 }
 
@@ -64,6 +67,7 @@
             continue;
         }
         m_receiving = true;
+        m_used = true;
         const bool more = ready && !m_ended && readRequest();
         m_receiving = false;
         if (!more) {
@@ -89,10 +93,12 @@
 
 void CallerSession::closeWhenIdle()
 {
-    if (m_exchanges.empty() && !m_receiving) {
-        m_ended = true;
-        m_connection.socket().close();
+    const bool expected = !m_used && m_environment.loop.now() - m_openedAt < FirstRequestTime;
+    if (!m_exchanges.empty() || m_receiving || expected || m_connection.socket().hasUnreadBytes()) {
+        return;
     }
+    m_ended = true;
+    m_connection.socket().close();
 }
 
 void CallerSession::abort()
--- a/modules/mesh/callers/callersession.h
+++ b/modules/mesh/callers/callersession.h
@@ -34,7 +34,7 @@
     CallerSession(std::unique_ptr<AsyncSocket> socket, const Environment &environment);
 
     void start();
-    /** Closes the connection if no request is being read or served; otherwise it closes with the answer. */
+    /** Closes the connection if no request is being read, served or expected; otherwise it closes with the answer. */
     void closeWhenIdle();
     /** Resets the connection and cancels what it asked for. */
     void abort();
@@ -65,7 +65,10 @@
     std::deque<std::shared_ptr<Exchange>> m_exchanges;
     /** Where the reader waits until it may read on. */
     WaitPoint m_roomForMore;
+    TimePoint m_openedAt;
     bool m_writing = false;
+    /** A request has begun to arrive on this connection, now or earlier. */
+    bool m_used = false;
     /** A request has begun to arrive. */
     bool m_receiving = false;
     /** Nothing more is read: the caller has left, or got the last answer. */
