Give the directory of nodes a class of its own; correct an outdated own entry

A store that carries out an older write later brought back an entry that doesn't say that the upstream left. A node now compares its own row with what it wrote and writes it again. OwnEntryIsWrittenAgainAfterALateWrite fails without it.

--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -18,13 +18,9 @@
 constexpr std::size_t StatusFramesPerSecond = 80;
 constexpr std::chrono::milliseconds StoreRetryPause(250);
 constexpr std::chrono::seconds LongestStoreRetryPause(1);
-/** Changes of the directory are collected for this long, so that a fleet that starts doesn't wake every node for every other one. */
-constexpr std::chrono::milliseconds DirectoryPause(300);
 /** Time after the first rules in which links to peers may still be missing without the node being unready. */
 constexpr std::chrono::milliseconds LinkTime(1500);
 constexpr std::chrono::milliseconds RulesRequestInterval(300);
-/** Entries of nodes that could not be reached for this long are removed from the store. */
-constexpr std::chrono::seconds DeadPeerTime(60);
 /** The node goes on to serve for this long after its stop was asked for: callers take two failed readiness checks to turn away. */
 constexpr std::chrono::milliseconds LeastShutDownTime(2600);
 /** Other nodes may use the upstream for this long after the stop was asked for: the node has to live longer for its own callers anyway. */
@@ -35,11 +31,6 @@
 constexpr double RetryShare = 0.5;
 const Logger Log("mesh");
 
-std::string keyOf(const DirectoryEntry &entry)
-{
-    return entry.peerAddress.text();
-}
-
 } // namespace
 
 MeshNode::MeshNode(Environment environment)
@@ -51,7 +42,6 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.clock().wallNow().time_since_epoch()).count()))
     , m_crashes(m_loop.clock())
     , m_retries({ m_environment.settings.retryRatio * RetryShare, 1, m_environment.settings.retryWindow })
-
     , m_runner({ m_loop,
                  m_environment.settings,
                  m_environment.headers,
@@ -97,9 +87,28 @@
                     m_sessions.insert(session.get());
                     session->start();
                 })
-    , m_peerListener(m_loop, [this](std::unique_ptr<AsyncSocket> socket) {
-        acceptPeer(std::move(socket));
-    })
+    , m_peerListener(m_loop,
+                     [this](std::unique_ptr<AsyncSocket> socket) {
+                         acceptPeer(std::move(socket));
+                     })
+    , m_peers({ m_loop,
+                m_environment.store,
+                [this] {
+                    return ownEntry();
+                },
+                MeshLink::Handlers{ [this](MeshLink &peer, MeshFrame &&frame) {
+                                       handlePeerFrame(peer, std::move(frame));
+                                   },
+                                    [](MeshLink &) {},
+                                    [this] {
+                                        return HelloFrame{ ownEntry() };
+                                    } },
+                [this] {
+                    shareBudgets();
+                },
+                [this](const std::string &upstream) {
+                    m_runner.setDeparted(upstream);
+                } })
 {
 }
 
@@ -117,9 +126,7 @@
     m_loop.spawn([this] {
         followRules();
     });
-    m_loop.spawn([this] {
-        followDirectory();
-    });
+    m_peers.start();
     m_loop.spawn([this] {
         tick();
     });
@@ -159,13 +166,7 @@
     m_loop.spawn([this] {
         finishShutDown();
     });
-    if (m_runner.departed().empty()) {
-        return;
-    }
-    m_loop.spawn([this, entry = ownEntry()] {
-        const auto withdrawn = m_environment.store.withdraw(entry);
-        Log.info("withdrawn", { { "result", withdrawn ? "ok" : withdrawn.error().describe() } });
-    });
+    m_peers.leave(!m_runner.departed().empty());
 }
 
 bool MeshNode::isReady() const
@@ -176,15 +177,12 @@
     if (m_loop.now() - m_rulesSince > LinkTime) {
         return true;
     }
-    return m_directoryRead && reachablePeers() * 2 >= m_peers.size();
+    return m_peers.isRead() && reachablePeers() * 2 >= m_peers.links().size();
 }
 
 std::size_t MeshNode::reachablePeers() const
 {
-    const TimePoint now = m_loop.now();
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &it) {
-        return it.second->isReachable(now, suspectSilence());
-    }));
+    return m_peers.reachable(suspectSilence());
 }
 
 void MeshNode::abandon()
@@ -202,9 +200,7 @@
         }
     }
     m_inbound.clear();
-    for (const auto &[key, link] : m_peers) {
-        link->stop();
-    }
+    m_peers.stop();
     m_runner.close();
 }
 
@@ -213,7 +209,7 @@
     if (!m_runner.depart(upstreamId)) {
         return false;
     }
-    publish();
+    m_peers.publish();
     return true;
 }
 
@@ -242,7 +238,7 @@
         own.reachable = true;
         add(m_runner.load(), own, m_environment.settings.node, nullptr);
     }
-    for (const auto &[key, link] : m_peers) {
+    for (const auto &[key, link] : m_peers.links()) {
         if (link->entry().service != service) {
             continue;
         }
@@ -258,7 +254,7 @@
 
 Duration MeshNode::statusInterval() const
 {
-    const auto scaled = std::chrono::milliseconds(1000 * m_peers.size() / StatusFramesPerSecond);
+    const auto scaled = std::chrono::milliseconds(1000 * m_peers.links().size() / StatusFramesPerSecond);
     return std::max<Duration>(ShortestStatusInterval, scaled);
 }
 
@@ -291,63 +287,6 @@
     }
 }
 
-void MeshNode::followDirectory()
-{
-    Duration pause = StoreRetryPause;
-    std::uint64_t position = 0;
-    while (!m_closing) {
-        if (!m_directoryRead) {
-            const auto state = m_environment.store.readDirectory();
-            if (state) {
-                pause = StoreRetryPause;
-                position = state->position;
-                applyDirectory(state->entries);
-                m_directoryRead = true;
-                continue;
-            }
-            Log.warning("directory_unavailable", { { "error", state.error().describe() } });
-        } else {
-            const auto changes = m_environment.store.watchDirectory(position);
-            if (changes) {
-                pause = StoreRetryPause;
-                position = changes->position;
-                for (const auto &it : changes->changes) {
-                    apply(it);
-                }
-                m_loop.sleepFor(DirectoryPause);
-                continue;
-            }
-            Log.warning("directory_unavailable", { { "error", changes.error().describe() } });
-            m_directoryRead = changes.error().kind != ErrorKind::NotFound;
-        }
-        m_loop.sleepFor(pause);
-        pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
-    }
-}
-
-void MeshNode::publish()
-{
-    m_publishAgain = true;
-    if (std::exchange(m_publishing, true)) {
-        return;
-    }
-    m_loop.spawn([this] {
-        Duration pause = StoreRetryPause;
-        while (m_publishAgain) {
-            m_publishAgain = false;
-            const auto entry = ownEntry();
-            if (const auto published = m_environment.store.publish(entry); !published) {
-                Log.warning("publish_failed", { { "error", published.error().describe() } });
-                m_publishAgain = true;
-                m_loop.sleepFor(pause);
-                pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
-            }
-        }
-        m_publishing = false;
-        m_published = true;
-    });
-}
-
 void MeshNode::applyRules(const TrafficRules &rules, std::string_view source)
 {
     if (m_rules && rules.version <= m_rules->version()) {
@@ -365,103 +304,10 @@
     m_rules = std::make_shared<const RuleIndex>(rules);
 }
 
-void MeshNode::applyDirectory(const std::vector<DirectoryEntry> &entries)
+void MeshNode::shareBudgets()
 {
-    std::set<std::string> keys;
-    for (const auto &it : entries) {
-        keys.insert(keyOf(it));
-        apply(it);
-    }
-    std::vector<std::string> removed;
-    for (const auto &[key, link] : m_peers) {
-        if (!keys.contains(key)) {
-            removed.push_back(key);
-        }
-    }
-    for (const auto &it : removed) {
-        removePeer(it);
-    }
-    if (!m_published) {
-        publish();
-    }
-}
-
-void MeshNode::apply(const DirectoryChange &change)
-{
-    const std::string ownKey = keyOf(ownEntry());
-    if (const auto *entry = std::get_if<DirectoryEntry>(&change)) {
-        if (keyOf(*entry) != ownKey) {
-            addPeer(*entry, true);
-        } else if (!m_published && entry->node == m_environment.settings.node && !entry->departedUpstream.empty()) {
-            m_runner.setDeparted(entry->departedUpstream);
-        }
-        return;
-    }
-    const auto &key = std::get<DirectoryRemoval>(change).key;
-    if (key != ownKey) {
-        removePeer(key);
-    } else if (m_published && !m_closing) {
-        publish();
-    }
-}
-
-void MeshNode::addPeer(const DirectoryEntry &entry, bool fromStore)
-{
-    const auto found = m_peers.find(keyOf(entry));
-    if (found != m_peers.end()) {
-        if (!(found->second->entry() == entry) && (fromStore || entry.incarnation > found->second->entry().incarnation)) {
-            found->second->setEntry(entry);
-        }
-        return;
-    }
-    Log.info("peer_added",
-             { { "peer", entry.node.text() },
-               { "service", entry.service.text() },
-               { "data_centre", entry.dataCentre.text() },
-               { "source", fromStore ? "store" : "peer" } });
-    auto link = std::make_shared<MeshLink>(m_loop,
-                                           entry,
-                                           MeshLink::Handlers{ [this](MeshLink &peer, MeshFrame &&frame) {
-                                                                  handlePeerFrame(peer, std::move(frame));
-                                                              },
-                                                               [](MeshLink &) {},
-                                                               [this] {
-                                                                   return HelloFrame{ ownEntry() };
-                                                               } });
-    m_peers.emplace(keyOf(entry), link);
-    link->start();
-    m_accounts.setNodes(m_peers.size() + 1);
-    m_retries.setSlack(m_environment.settings.retrySlack * RetryShare / static_cast<double>(m_peers.size() + 1));
-}
-
-void MeshNode::removePeer(const std::string &key)
-{
-    const auto found = m_peers.find(key);
-    if (found == m_peers.end()) {
-        return;
-    }
-    Log.info("peer_removed", { { "peer", found->second->entry().node.text() } });
-    const auto link = found->second;
-    m_peers.erase(found);
-    link->stop();
-    m_accounts.setNodes(m_peers.size() + 1);
-}
-
-void MeshNode::removeDeadPeers(TimePoint now)
-{
-    for (const auto &[key, link] : m_peers) {
-        const auto down = link->downSince();
-        if (!down || now - *down < DeadPeerTime) {
-            continue;
-        }
-        m_loop.spawn([this, entry = link->entry()] {
-            const auto withdrawn = m_environment.store.withdraw(entry);
-            Log.info("dead_peer_withdrawn",
-                     { { "peer", entry.node.text() }, { "result", withdrawn ? "ok" : withdrawn.error().describe() } });
-        });
-        removePeer(key);
-        return;
-    }
+    m_accounts.setNodes(m_peers.nodes());
+    m_retries.setSlack(m_environment.settings.retrySlack * RetryShare / static_cast<double>(m_peers.nodes()));
 }
 
 void MeshNode::acceptPeer(std::unique_ptr<AsyncSocket> socket)
@@ -504,9 +350,7 @@
             calls.erase(found);
         }
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
-        if (keyOf(hello->sender) != keyOf(ownEntry())) {
-            addPeer(hello->sender, false);
-        }
+        m_peers.add(hello->sender, false);
     } else if (std::holds_alternative<RulesRequestFrame>(frame) && m_rules) {
         connection->send(RulesFrame{ m_rules->rules() });
     }
@@ -606,7 +450,7 @@
 {
     sendStatus();
     if (!m_runner.departed().empty()) {
-        publish();
+        m_peers.publish();
     }
 }
 
@@ -619,10 +463,7 @@
         if (now - m_lastStatus >= statusInterval() || m_accounts.reportIsUrgent()) {
             sendStatus();
         }
-        for (const auto &[key, link] : std::map(m_peers)) {
-            link->checkLiveness(now);
-        }
-        removeDeadPeers(now);
+        m_peers.tick(now);
         if (now - m_lastAdjust >= TreeAdmission::AdjustInterval) {
             m_lastAdjust = now;
             adjustTrees(now);
@@ -646,7 +487,7 @@
         }
     };
     add(m_environment.settings.service, m_runner.load());
-    for (const auto &[key, link] : m_peers) {
+    for (const auto &[key, link] : m_peers.links()) {
         if (link->isReachable(now, suspectSilence())) {
             add(link->entry().service, link->load());
         }
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -3,8 +3,8 @@
 #include "async/net/asynclistener.h"
 #include "mesh/callers/callersession.h"
 #include "mesh/callers/entrypath.h"
-#include "mesh/links/meshlink.h"
 #include "mesh/model/fleetstore.h"
+#include "mesh/node/peerdirectory.h"
 #include "mesh/upstream/upstreamrunner.h"
 
 #include <map>
@@ -77,14 +77,9 @@
 
     void registerGauges();
     void followRules();
-    void followDirectory();
-    void publish();
     void applyRules(const TrafficRules &rules, std::string_view source);
-    void applyDirectory(const std::vector<DirectoryEntry> &entries);
-    void apply(const DirectoryChange &change);
-    void addPeer(const DirectoryEntry &entry, bool fromStore);
-    void removePeer(const std::string &key);
-    void removeDeadPeers(TimePoint now);
+    /** Divides what the fleet may spend by the number of its nodes. */
+    void shareBudgets();
 
     void acceptPeer(std::unique_ptr<AsyncSocket> socket);
     void handleInbound(const Inbound &connection, MeshFrame &&frame);
@@ -113,20 +108,15 @@
     AsyncListener m_callers;
     std::set<CallerSession *> m_sessions;
     AsyncListener m_peerListener;
+    PeerDirectory m_peers;
 
     std::shared_ptr<const RuleIndex> m_rules;
-    /** By the text of the peer address. */
-    std::map<std::string, std::shared_ptr<MeshLink>> m_peers;
     /** Connections that other nodes made, with the tickets of their calls. */
     std::map<Inbound, std::map<std::uint64_t, std::uint64_t>> m_inbound;
     TimePoint m_lastStatus{};
     TimePoint m_lastAdjust{};
     TimePoint m_lastRulesRequest{};
     TimePoint m_rulesSince{};
-    bool m_directoryRead = false;
-    bool m_publishing = false;
-    bool m_publishAgain = false;
-    bool m_published = false;
     bool m_closing = false;
     TimePoint m_closingSince{};
     std::size_t m_activeRequests = 0;
--- /dev/null
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -0,0 +1,266 @@
+#include "mesh/node/peerdirectory.h"
+
+#include "core/logger.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds StoreRetryPause(250);
+/** Entries that lapsed while the store was away have to be back 2 s after its return. */
+constexpr std::chrono::seconds LongestStoreRetryPause(1);
+/** Changes of the directory are collected for this long, so that a fleet that starts doesn't wake every node for every other one. */
+constexpr std::chrono::milliseconds DirectoryPause(300);
+/** Entries of nodes that could not be reached for this long are removed from the store. */
+constexpr std::chrono::seconds DeadPeerTime(60);
+const Logger Log("mesh");
+
+std::string keyOf(const DirectoryEntry &entry)
+{
+    return entry.peerAddress.text();
+}
+
+} // namespace
+
+PeerDirectory::PeerDirectory(Environment environment)
+    : m_environment(std::move(environment))
+{
+}
+
+void PeerDirectory::start()
+{
+    m_environment.loop.spawn([this] {
+        follow();
+    });
+}
+
+void PeerDirectory::leave(bool withdraws)
+{
+    m_left = true;
+    if (withdraws) {
+        m_writeAgain = false;
+        withdraw(m_environment.ownEntry(), "withdrawn");
+    }
+}
+
+void PeerDirectory::stop()
+{
+    m_left = true;
+    for (const auto &[key, link] : m_links) {
+        link->stop();
+    }
+}
+
+std::size_t PeerDirectory::reachable(Duration silence) const
+{
+    const TimePoint now = m_environment.loop.now();
+    return static_cast<std::size_t>(std::count_if(m_links.begin(), m_links.end(), [silence, now](const auto &it) {
+        return it.second->isReachable(now, silence);
+    }));
+}
+
+void PeerDirectory::follow()
+{
+    Duration pause = StoreRetryPause;
+    std::uint64_t position = 0;
+    while (!m_left) {
+        const auto followed = followOnce(position);
+        if (followed) {
+            pause = StoreRetryPause;
+            continue;
+        }
+        Log.warning("directory_unavailable", { { "error", followed.error().describe() } });
+        m_environment.loop.sleepFor(pause);
+        pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+    }
+}
+
+Result<void> PeerDirectory::followOnce(std::uint64_t &position)
+{
+    if (!m_read) {
+        const auto state = m_environment.store.readDirectory();
+        if (!state) {
+            return tl::unexpected(state.error());
+        }
+        position = state->position;
+        applyAll(state->entries);
+        m_read = true;
+        return {};
+    }
+    const auto changes = m_environment.store.watchDirectory(position);
+    if (!changes) {
+        m_read = changes.error().kind != ErrorKind::NotFound;
+        return tl::unexpected(changes.error());
+    }
+    position = changes->position;
+    for (const auto &it : changes->changes) {
+        apply(it);
+    }
+    m_environment.loop.sleepFor(DirectoryPause);
+    return {};
+}
+
+void PeerDirectory::publish()
+{
+    m_writeAgain = true;
+    if (std::exchange(m_writing, true)) {
+        return;
+    }
+    m_environment.loop.spawn([this] {
+        write();
+    });
+}
+
+void PeerDirectory::write()
+{
+    Duration pause = StoreRetryPause;
+    while (m_writeAgain) {
+        m_writeAgain = false;
+        const auto entry = m_environment.ownEntry();
+        if (const auto published = m_environment.store.publish(entry); !published) {
+            Log.warning("publish_failed", { { "error", published.error().describe() } });
+            m_writeAgain = true;
+            m_environment.loop.sleepFor(pause);
+            pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+        }
+    }
+    m_writing = false;
+    m_published = true;
+}
+
+void PeerDirectory::applyAll(const std::vector<DirectoryEntry> &entries)
+{
+    const std::string ownKey = keyOf(m_environment.ownEntry());
+    std::set<std::string> keys;
+    for (const auto &it : entries) {
+        keys.insert(keyOf(it));
+        apply(it);
+    }
+    std::vector<std::string> removed;
+    for (const auto &[key, link] : m_links) {
+        if (!keys.contains(key)) {
+            removed.push_back(key);
+        }
+    }
+    for (const auto &it : removed) {
+        remove(it);
+    }
+    if (!m_left && (!m_published || !keys.contains(ownKey))) {
+        publish();
+    }
+}
+
+void PeerDirectory::apply(const DirectoryChange &change)
+{
+    const std::string ownKey = keyOf(m_environment.ownEntry());
+    if (const auto *entry = std::get_if<DirectoryEntry>(&change)) {
+        if (keyOf(*entry) == ownKey) {
+            applyOwn(*entry);
+        } else {
+            add(*entry, true);
+        }
+        return;
+    }
+    const auto &key = std::get<DirectoryRemoval>(change).key;
+    if (key != ownKey) {
+        remove(key);
+    } else if (m_published && !m_left) {
+        publish();
+    }
+}
+
+void PeerDirectory::applyOwn(const DirectoryEntry &entry)
+{
+    const auto own = m_environment.ownEntry();
+    if (!m_published) {
+        if (entry.node == own.node && !entry.departedUpstream.empty()) {
+            m_environment.departedBefore(entry.departedUpstream);
+        }
+        return;
+    }
+    if (m_left || m_writing || entry == own) {
+        return;
+    }
+    // The store may carry out an earlier write after a later one; nobody else writes under this address.
+    Log.warning("own_entry_outdated",
+                { { "stored_incarnation", std::to_string(entry.incarnation) },
+                  { "incarnation", std::to_string(own.incarnation) },
+                  { "stored_departed", entry.departedUpstream },
+                  { "departed", own.departedUpstream } });
+    publish();
+}
+
+void PeerDirectory::add(const DirectoryEntry &entry, bool fromStore)
+{
+    const std::string key = keyOf(entry);
+    if (key == keyOf(m_environment.ownEntry())) {
+        return;
+    }
+    const auto found = m_links.find(key);
+    if (found != m_links.end()) {
+        if (!(found->second->entry() == entry) && (fromStore || entry.incarnation > found->second->entry().incarnation)) {
+            found->second->setEntry(entry);
+        }
+        return;
+    }
+    Log.info("peer_added",
+             { { "peer", entry.node.text() },
+               { "service", entry.service.text() },
+               { "data_centre", entry.dataCentre.text() },
+               { "source", fromStore ? "store" : "peer" } });
+    auto link = std::make_shared<MeshLink>(m_environment.loop, entry, m_environment.linkHandlers);
+    m_links.emplace(key, link);
+    link->start();
+    m_environment.changed();
+}
+
+void PeerDirectory::remove(const std::string &key)
+{
+    const auto found = m_links.find(key);
+    if (found == m_links.end()) {
+        return;
+    }
+    Log.info("peer_removed", { { "peer", found->second->entry().node.text() } });
+    const auto link = found->second;
+    m_links.erase(found);
+    link->stop();
+    m_environment.changed();
+}
+
+void PeerDirectory::tick(TimePoint now)
+{
+    // A copy, because a lost link may change the map.
+    for (const auto &[key, link] : std::map(m_links)) {
+        link->checkLiveness(now);
+    }
+    removeDead(now);
+}
+
+void PeerDirectory::removeDead(TimePoint now)
+{
+    for (const auto &[key, link] : m_links) {
+        const auto down = link->downSince();
+        if (!down || now - *down < DeadPeerTime) {
+            continue;
+        }
+        withdraw(link->entry(), "dead_peer_withdrawn");
+        remove(std::string(key));
+        return;
+    }
+}
+
+void PeerDirectory::withdraw(const DirectoryEntry &entry, std::string_view event)
+{
+    m_environment.loop.spawn([this, entry, event = std::string(event)] {
+        const auto withdrawn = m_environment.store.withdraw(entry);
+        Log.info(event, { { "node", entry.node.text() }, { "result", withdrawn ? "ok" : withdrawn.error().describe() } });
+    });
+}
+
+} // namespace Pimentohollow
