--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -44,6 +44,11 @@
 
 } // namespace
 
+AccountAllowance::AccountAllowance(TimePoint startedAt)
+    : m_startedAt(startedAt)
+{
+}
+
 void AccountAllowance::setNodes(std::size_t nodes)
 {
     m_nodes = std::max<std::size_t>(1, nodes);
@@ -136,7 +141,7 @@
         account.level += limit.burst * StartLevel;
         account.shareAt = now;
         account.shareTokens = 1;
-        account.levelAt = now;
+        account.levelAt = std::min(m_startedAt, now);
     }
     account.limit = limit;
     account.level = std::min(limit.burst, account.level + limit.ratePerSecond * elapsedSeconds(account.levelAt, now));
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -42,6 +42,9 @@
 class AccountAllowance
 {
 public:
+    /** @param startedAt since when this node hears the others; before, an account may have spent its burst unseen */
+    explicit AccountAllowance(TimePoint startedAt);
+
     /** @param nodes known to the directory, this one included */
     void setNodes(std::size_t nodes);
     /** Takes what another node reported. */
@@ -101,6 +104,7 @@
     void removeSilentPeers(TimePoint now);
     std::size_t unheardNodes() const;
 
+    TimePoint m_startedAt;
     std::size_t m_nodes = 1;
     bool m_urgent = false;
     TimePoint m_nextPeerCheck{};
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -41,6 +41,7 @@
     , m_incarnation(static_cast<std::uint64_t>(
           std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.clock().wallNow().time_since_epoch()).count()))
     , m_crashes(m_loop.clock())
+    , m_accounts(m_loop.clock().now())
     , m_retries({ m_environment.settings.retryRatio * RetryShare, 1, m_environment.settings.retryWindow })
     , m_runner({ m_loop,
                  m_environment.settings,
--- a/modules/mesh/tests/accountallowancetest.cpp
+++ b/modules/mesh/tests/accountallowancetest.cpp
@@ -5,8 +5,8 @@
 #include <cmath>
 #include <deque>
 #include <gtest/gtest.h>
-#include <memory>
 #include <string>
+#include <vector>
 
 namespace Pimentohollow
 {
@@ -53,7 +53,8 @@
     constexpr Duration Length = 20s;
     constexpr Duration Step = 1ms;
     constexpr Duration Window = 5s;
-    std::array<AccountAllowance, Nodes> nodes;
+    const TimePoint start{ 1h };
+    std::vector<AccountAllowance> nodes(Nodes, AccountAllowance(start));
     std::array<Duration, Nodes> lastReport{};
     struct Report {
         TimePoint due{};
@@ -68,7 +69,6 @@
     PlayResult result;
     std::deque<TimePoint> window;
     double bucket = Limit.burst;
-    const TimePoint start{ 1h };
     for (Duration elapsed{}; elapsed < Length; elapsed += Step) {
         const TimePoint now = start + elapsed;
         const bool second = elapsed >= Length / 2;
@@ -144,10 +144,34 @@
 /** Guards against accounts without a limit that are refused. */
 TEST(AccountAllowanceTest, NoLimitAdmitsEverything)
 {
-    AccountAllowance allowance;
+    AccountAllowance allowance(TimePoint{ 1h });
     for (int n = 0; n < 1000; ++n) {
         EXPECT_FALSE(allowance.admit(Florists, {}, TimePoint{ 1h }));
     }
 }
 
+/** Guards against an account that finds a third of its burst although nobody has used it since the node started. */
+TEST(AccountAllowanceTest, BurstFillsBeforeTheFirstRequest)
+{
+    const TimePoint startedAt{ 1h };
+    AccountAllowance allowance(startedAt);
+    std::size_t admitted = 0;
+    while (admitted < 1000 && !allowance.admit(Florists, Limit, startedAt + 2s)) {
+        ++admitted;
+    }
+    EXPECT_EQ(admitted, static_cast<std::size_t>(Limit.burst));
+}
+
+/** Guards against a burst that is granted again by each restart of a node: what was spent before isn't known to it. */
+TEST(AccountAllowanceTest, RestartedNodeAssumesAPartOfTheBurst)
+{
+    const TimePoint startedAt{ 1h };
+    AccountAllowance allowance(startedAt);
+    std::size_t admitted = 0;
+    while (admitted < 1000 && !allowance.admit(Florists, Limit, startedAt)) {
+        ++admitted;
+    }
+    EXPECT_LT(static_cast<double>(admitted), Limit.burst / 2);
+}
+
 } // namespace Pimentohollow
