Keep repeats within a budget that all nodes share

Nodes beside a failing upstream ran out at once, while the calls of repeated trees were charged at other nodes than those that repeated more. RepeatBudget counts repeats for each service over all nodes, by the exchange that keeps client accounts to their rates, and grants the repeat of a tree only if every service of the tree has room for its calls. A request whose own call failed may run again while no service of its tree is short.

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t MostOffers = 6;
 /** Ranks by which calls come after requests of callers when repeats are short: a tree needs all of its calls, a request only itself. */
 constexpr std::uint32_t CallRepeatRank = 2;
+/** Ranks by which requests come after others if a call below them has failed already, and with it the repeats of that call. */
+constexpr std::uint32_t FailedCallRank = 4;
 /** A repeat starts only if the usual time to an answer is still left. */
 constexpr double RepeatTimeShare = 1.0;
 /** An attempt without an answer is repeated elsewhere after this many times the usual time to an answer. */
@@ -165,9 +167,9 @@
             return refuse(entry, ServiceUnavailable, "tree_shed", *wait, m_environment.trees.describe(entry.tree, entry.origin.rank));
         }
     }
-    m_environment.retries.recordRequest(entry.service, now);
+    m_environment.repeats.recordRequest(entry.service, now);
     if (entry.origin.repeat) {
-        m_environment.retries.charge(entry.service, now);
+        m_environment.repeats.charge(entry.service, now);
     }
     return std::nullopt;
 }
@@ -191,8 +193,10 @@
         if (attempts.last.outcome == RunOutcome::Answered && attempts.last.response.status < FirstServerError) {
             break;
         }
-        // Repeating a request whose own calls failed would make all of them again; those calls have had their repeats.
-        if (attempts.last.outcome == RunOutcome::Poisonous || attempts.last.callFailed) {
+        // Repeating a request whose own calls failed makes all of them again, and those calls have had their repeats: while a service of
+        // the tree is short, that takes room from trees that can still finish.
+        const bool wasteful = attempts.last.callFailed && !m_environment.trees.isCalm(entry.tree);
+        if (attempts.last.outcome == RunOutcome::Poisonous || wasteful) {
             break;
         }
         if (attempts.repeatPaid) {
@@ -312,7 +316,7 @@
         }
         patient = false;
         const bool repeatable = entry.route->idempotent && !repeat && entry.route->maximumAttempts > 1;
-        if (repeatable && tryRepeat(entry)) {
+        if (repeatable && tryRepeat(entry, false)) {
             m_environment.metrics.counter("pimentohollow_impatient_repeats_total").add();
             attempts.repeatPaid = true;
             state->pending = nullptr;
@@ -328,17 +332,16 @@
     return withoutAnswer(RunOutcome::TimedOut);
 }
 
-std::uint32_t EntryPath::repeatRank(const Entry &entry)
+std::uint32_t EntryPath::repeatRank(const Entry &entry, bool callFailed)
 {
-    return entry.origin.rank + (entry.origin.inner ? CallRepeatRank : 0);
+    return entry.origin.rank + (entry.origin.inner ? CallRepeatRank : 0) + (callFailed ? FailedCallRank : 0);
 }
 
-bool EntryPath::tryRepeat(const Entry &entry)
+bool EntryPath::tryRepeat(const Entry &entry, bool callFailed)
 {
-    constexpr double OnlyItself = 1.5;
     const auto found = m_answers.find(entry.route->name);
-    const bool makesCalls = found != m_answers.end() && found->second.services > OnlyItself;
-    return m_environment.retries.tryRepeat(entry.service, repeatRank(entry), makesCalls, m_environment.loop.now());
+    const auto tree = found == m_answers.end() ? std::vector<ServiceCalls>() : found->second.tree;
+    return m_environment.repeats.tryRepeat(entry.service, repeatRank(entry, callFailed), tree, m_environment.loop.now());
 }
 
 bool EntryPath::mayRepeat(const Entry &entry, const Attempts &attempts)
@@ -353,7 +356,7 @@
     if (left < usual * RepeatTimeShare) {
         return false;
     }
-    return tryRepeat(entry);
+    return tryRepeat(entry, attempts.last.callFailed);
 }
 
 TimePoint EntryPath::attemptDeadline(const Entry &entry) const
@@ -466,7 +469,16 @@
     const double weight = usual.seconds == 0 ? 1 : AnswerWeight;
     usual.seconds += weight * (seconds - usual.seconds);
     usual.bytes += weight * (bytes - usual.bytes);
-    usual.services += weight * (static_cast<double>(result.work.size()) - usual.services);
+    for (auto &it : usual.tree) {
+        it.calls -= weight * it.calls;
+    }
+    for (const auto &it : result.work) {
+        const auto same = std::find_if(usual.tree.begin(), usual.tree.end(), [&it](const ServiceCalls &calls) {
+            return calls.service == it.service;
+        });
+        auto &calls = same == usual.tree.end() ? usual.tree.emplace_back(ServiceCalls{ it.service, 0 }) : *same;
+        calls.calls += weight * it.runs;
+    }
 }
 
 } // namespace Pimentohollow
--- a/modules/mesh/callers/entrypath.h
+++ b/modules/mesh/callers/entrypath.h
@@ -3,7 +3,7 @@
 #include "core/random.h"
 #include "mesh/callers/pendingrequest.h"
 #include "mesh/decisions/accountallowance.h"
-#include "mesh/decisions/retryallowance.h"
+#include "mesh/decisions/repeatbudget.h"
 #include "mesh/decisions/treeadmission.h"
 #include "mesh/decisions/upstreamchooser.h"
 #include "mesh/decisions/weightedsplit.h"
@@ -41,7 +41,7 @@
         const HeaderNames &headers;
         UpstreamRunner &runner;
         AccountAllowance &accounts;
-        RetryAllowance &retries;
+        RepeatBudget &repeats;
         TreeAdmission &trees;
         Random &random;
         MetricRegistry &metrics;
@@ -103,8 +103,9 @@
     static void record(const NodeName &node, Attempts &attempts);
     RunReply
     attempt(const UpstreamWay &way, const HttpRequestMessage &request, const Entry &entry, PendingRequest &pending, Attempts &attempts);
-    static std::uint32_t repeatRank(const Entry &entry);
-    bool tryRepeat(const Entry &entry);
+    /** @param callFailed a call that the request made got no success */
+    static std::uint32_t repeatRank(const Entry &entry, bool callFailed);
+    bool tryRepeat(const Entry &entry, bool callFailed);
     bool mayRepeat(const Entry &entry, const Attempts &attempts);
     TimePoint attemptDeadline(const Entry &entry) const;
     HttpResponseMessage conclude(const Entry &entry, Attempts &&attempts);
@@ -125,8 +126,8 @@
         double seconds = 0;
         /** Request and answer, with their heads. */
         double bytes = 0;
-        /** Services that took part, those of its calls included. */
-        double services = 1;
+        /** Runs at each service that took part. */
+        std::vector<ServiceCalls> tree;
     };
     std::unordered_map<RouteName, UsualAnswer> m_answers;
 };
--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -92,17 +92,38 @@
     const double rate = limit.ratePerSecond * part * (account.level < 0 ? 1 - Payback : 1);
     account.shareTokens = std::min(std::max(1.0, rate * ShareSeconds), account.shareTokens + rate * elapsedSeconds(account.shareAt, now));
     account.shareAt = now;
-    const double silent = silentDemand(name, account);
-    const double silentPart = m_silent.empty() ? 0 : silent / std::max(silent + account.demand + account.othersDemand, LeastReportedDemand);
-    const bool free = account.level - unseenSpending(account, now) - limit.burst * silentPart >= 1;
-    if (!free && account.shareTokens < 1) {
+    if (freeTokens(name, account, now) < 1 && account.shareTokens < 1) {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1 - account.shareTokens) / std::max(rate, 0.01)));
     }
+    take(account);
+    return std::nullopt;
+}
+
+double AccountAllowance::available(const AccountName &name, const AccountLimit &limit, TimePoint now)
+{
+    const auto &account = refreshed(name, limit, now);
+    return freeTokens(name, account, now);
+}
+
+void AccountAllowance::spend(const AccountName &name, const AccountLimit &limit, TimePoint now)
+{
+    auto &account = refreshed(name, limit, now);
+    measure(account, 1, now);
+    take(account);
+}
+
+std::uint32_t AccountAllowance::admitted(const AccountName &name) const
+{
+    const auto found = m_accounts.find(name);
+    return found == m_accounts.end() ? 0 : found->second.admitted;
+}
+
+void AccountAllowance::take(Account &account)
+{
     account.level -= 1;
     account.shareTokens = std::max(0.0, account.shareTokens - 1);
     ++account.admitted;
-    m_urgent = m_urgent || account.admitted - account.admittedAtReport > std::max(UrgentLeast, limit.burst * UrgentPart);
-    return std::nullopt;
+    m_urgent = m_urgent || account.admitted - account.admittedAtReport > std::max(UrgentLeast, account.limit.burst * UrgentPart);
 }
 
 std::vector<AccountSpending> AccountAllowance::takeReport(TimePoint now)
@@ -186,6 +207,13 @@
     return std::max(0.0, reported) + account.demand * static_cast<double>(unheardNodes()) * ShareSeconds;
 }
 
+double AccountAllowance::freeTokens(const AccountName &name, const Account &account, TimePoint now) const
+{
+    const double silent = silentDemand(name, account);
+    const double silentPart = m_silent.empty() ? 0 : silent / std::max(silent + account.demand + account.othersDemand, LeastReportedDemand);
+    return account.level - unseenSpending(account, now) - account.limit.burst * silentPart;
+}
+
 double AccountAllowance::share(const AccountName &name, const Account &account) const
 {
     const auto nodes = static_cast<double>(std::max(m_nodes, m_peers.size() + 1));
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -52,6 +52,12 @@
 
     /** Counts the request and decides on it: nothing if it is admitted, or when to come back. */
     std::optional<Duration> admit(const AccountName &account, const AccountLimit &limit, TimePoint now);
+    /** Tokens that the others have surely not taken; what admit() would find in the bucket. */
+    double available(const AccountName &account, const AccountLimit &limit, TimePoint now);
+    /** Takes a token even if there is none, and counts as demand. */
+    void spend(const AccountName &account, const AccountLimit &limit, TimePoint now);
+    /** Requests admitted here since the start. */
+    std::uint32_t admitted(const AccountName &account) const;
     /** What this node did, for the others; accounts without demand are left out. */
     std::vector<AccountSpending> takeReport(TimePoint now);
     /** So much was admitted since the last report that the others should know at once. */
@@ -100,6 +106,9 @@
     /** Demand of the nodes that were not heard lately; their share of all demand is kept for them. */
     double silentDemand(const AccountName &name, const Account &account) const;
     double unseenSpending(const Account &account, TimePoint now) const;
+    /** Tokens of the bucket that neither other nodes may have taken unseen nor are kept for silent ones. */
+    double freeTokens(const AccountName &name, const Account &account, TimePoint now) const;
+    void take(Account &account);
     double share(const AccountName &name, const Account &account) const;
     void removeSilentPeers(TimePoint now);
     std::size_t unheardNodes() const;
--- /dev/null
+++ b/modules/mesh/decisions/repeatbudget.cpp
@@ -0,0 +1,132 @@
+#include "mesh/decisions/repeatbudget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+/** Share of the ratio that is used; the rest covers repeats that nodes grant before they hear of each other's. */
+constexpr double RatioShare = 0.75;
+/** Share of the slack that may be spent at once; the account exchange may overdraw by a tenth and twenty requests. */
+constexpr double SlackShare = 0.4;
+/** Time for which a service may save its share of the ratio. */
+constexpr double SavedSeconds = 1;
+/** Room that a service below must have for each call that a repeat brings there: other nodes grant repeats at the same time. */
+constexpr double RoomFactor = 2;
+/** Part of the saved repeats that the least urgent rank leaves to the others; ranks between leave less. */
+constexpr double ReservedShare = 0.25;
+constexpr double LastRank = 7;
+/** A node that was not heard for this long is taken to have no requests. */
+constexpr std::chrono::seconds RateMemory(5);
+constexpr double LeastReportedRate = 0.1;
+/** Assumed for a service without requests, because a rate of zero stands for no limit. */
+constexpr double LeastRate = 0.01;
+
+AccountName nameFor(const ServiceName &service)
+{
+    return AccountName(service.text());
+}
+
+} // namespace
+
+RepeatBudget::RepeatBudget(const RepeatBudgetSettings &settings, TimePoint startedAt)
+    : m_settings(settings)
+    , m_repeats(startedAt)
+{
+}
+
+void RepeatBudget::setNodes(std::size_t nodes)
+{
+    m_repeats.setNodes(nodes);
+}
+
+void RepeatBudget::reported(const NodeName &node, const std::vector<ServiceRepeats> &services, TimePoint now)
+{
+    auto &peer = m_peers[node];
+    peer.heardAt = now;
+    peer.rates.clear();
+    std::vector<AccountSpending> spending;
+    spending.reserve(services.size());
+    for (const auto &it : services) {
+        peer.rates[it.service] = it.requests;
+        spending.push_back({ nameFor(it.service), it.demand, it.repeats });
+    }
+    m_repeats.reported(node, spending, now);
+}
+
+std::vector<ServiceRepeats> RepeatBudget::takeReport(TimePoint now)
+{
+    std::vector<ServiceRepeats> result;
+    const auto spent = m_repeats.takeReport(now);
+    for (const auto &[service, requests] : m_requests) {
+        const auto name = nameFor(service);
+        const auto found = std::find_if(spent.begin(), spent.end(), [&name](const AccountSpending &it) {
+            return it.account == name;
+        });
+        ServiceRepeats report{ service, ownRate(service, now), 0, m_repeats.admitted(name) };
+        if (found != spent.end()) {
+            report.demand = found->demand;
+        }
+        if (report.requests >= LeastReportedRate || report.demand > 0) {
+            result.push_back(std::move(report));
+        }
+    }
+    return result;
+}
+
+void RepeatBudget::recordRequest(const ServiceName &service, TimePoint now)
+{
+    ownRate(service, now);
+    m_requests[service].own += 1 / std::chrono::duration<double>(m_settings.window).count();
+}
+
+bool RepeatBudget::tryRepeat(const ServiceName &service, std::uint32_t rank, const std::vector<ServiceCalls> &tree, TimePoint now)
+{
+    const double reserved = std::min(1.0, rank / LastRank) * ReservedShare;
+    if (reserved > 0 && !hasRoom(service, 1, reserved, now)) {
+        return false;
+    }
+    for (const auto &it : tree) {
+        if (it.service != service && !hasRoom(it.service, it.calls * RoomFactor, reserved, now)) {
+            return false;
+        }
+    }
+    return !m_repeats.admit(nameFor(service), limitOf(service, now), now);
+}
+
+void RepeatBudget::charge(const ServiceName &service, TimePoint now)
+{
+    m_repeats.spend(nameFor(service), limitOf(service, now), now);
+}
+
+double RepeatBudget::ownRate(const ServiceName &service, TimePoint now)
+{
+    auto &it = m_requests[service];
+    const double elapsed = std::chrono::duration<double>(now - it.updated).count();
+    it.own *= std::exp(-elapsed / std::chrono::duration<double>(m_settings.window).count());
+    it.updated = now;
+    return it.own;
+}
+
+AccountLimit RepeatBudget::limitOf(const ServiceName &service, TimePoint now)
+{
+    double rate = ownRate(service, now);
+    for (const auto &[node, peer] : m_peers) {
+        const auto found = now - peer.heardAt <= RateMemory ? peer.rates.find(service) : peer.rates.end();
+        rate += found == peer.rates.end() ? 0 : found->second;
+    }
+    const double repeats = std::max(LeastRate, rate * m_settings.ratio * RatioShare);
+    return { repeats, m_settings.slack * SlackShare + repeats * SavedSeconds };
+}
+
+bool RepeatBudget::hasRoom(const ServiceName &service, double calls, double reservedShare, TimePoint now)
+{
+    const auto limit = limitOf(service, now);
+    return m_repeats.available(nameFor(service), limit, now) >= calls + reservedShare * limit.burst;
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/decisions/repeatbudget.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "mesh/decisions/accountallowance.h"
+#include "mesh/model/servicework.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+/** Repeats that a service may get, over the whole fleet. */
+struct RepeatBudgetSettings {
+    /** Repeats for each request in a window. */
+    double ratio = 0.2;
+    /** Repeats in a window whatever the requests. */
+    double slack = 50;
+    Duration window = std::chrono::seconds(10);
+};
+
+/** What one node did for one service. */
+struct ServiceRepeats {
+    ServiceName service;
+    /** Requests per second, first ones and repeats. */
+    double requests = 0;
+    /** Repeats per second that were asked for, granted or not. */
+    double demand = 0;
+    /** Repeats since the node started, those of subtrees included. */
+    std::uint32_t repeats = 0;
+};
+
+/** Calls that one request of a route brings to a service, on average. */
+struct ServiceCalls {
+    ServiceName service;
+    double calls = 0;
+};
+
+/**
+ * Keeps the repeats that each service gets from all nodes together within the fleet's budget, with what the nodes tell each other.
+ *
+ * A repeat of a request that makes calls repeats its whole tree, so it is granted only if all services of the tree have room for their
+ * part; the calls are charged where they enter, without being asked.
+ *
+ * The load it answers: upstreams beside a few nodes fail half of their requests. All repeats come from those nodes, which a fixed part of
+ * the budget for each node would leave without any, while repeats at each level of the trees add up at the services below. Not thread-safe,
+ * no clock.
+ */
+class RepeatBudget
+{
+public:
+    RepeatBudget(const RepeatBudgetSettings &settings, TimePoint startedAt);
+
+    /** @param nodes known to the directory, this one included */
+    void setNodes(std::size_t nodes);
+    /** Takes what another node reported. */
+    void reported(const NodeName &node, const std::vector<ServiceRepeats> &services, TimePoint now);
+    /** What this node did, for the others; services without requests are left out. */
+    std::vector<ServiceRepeats> takeReport(TimePoint now);
+    /** So much was spent since the last report that the others should know at once. */
+    bool reportIsUrgent() const
+    {
+        return m_repeats.reportIsUrgent();
+    }
+
+    void recordRequest(const ServiceName &service, TimePoint now);
+    /**
+     * Takes the right to one repeat; false if there is none. Less urgent ranks leave a part of the budget to the more urgent ones: when an
+     * upstream rejects half of its requests, repeats for large, less urgent trees would use up all and still save few of them.
+     * @param rank 0 is the most urgent
+     * @param tree calls that the request makes again, by service; @p service itself is ignored there
+     */
+    bool tryRepeat(const ServiceName &service, std::uint32_t rank, const std::vector<ServiceCalls> &tree, TimePoint now);
+    /** Counts a repeat that can't be avoided: a call of a request that itself runs again. */
+    void charge(const ServiceName &service, TimePoint now);
+
+private:
+    struct Requests {
+        /** Requests per second at this node, a moving average over the window. */
+        double own = 0;
+        TimePoint updated{};
+    };
+    struct PeerRequests {
+        TimePoint heardAt{};
+        std::unordered_map<ServiceName, double> rates;
+    };
+
+    double ownRate(const ServiceName &service, TimePoint now);
+    AccountLimit limitOf(const ServiceName &service, TimePoint now);
+    bool hasRoom(const ServiceName &service, double calls, double reservedShare, TimePoint now);
+
+    RepeatBudgetSettings m_settings;
+    /** Counts repeats as if each service were a client account: the same exchange keeps both within their rates. */
+    AccountAllowance m_repeats;
+    std::unordered_map<ServiceName, Requests> m_requests;
+    std::unordered_map<NodeName, PeerRequests> m_peers;
+};
+
+} // namespace Pimentohollow
--- a/modules/mesh/decisions/treeadmission.cpp
+++ b/modules/mesh/decisions/treeadmission.cpp
@@ -118,6 +118,24 @@
     return ShortestReturn + std::chrono::duration_cast<Duration>(ReturnSpread * spread);
 }
 
+bool TreeAdmission::isCalm(const RouteName &route) const
+{
+    const auto found = m_work.find(route);
+    if (found == m_work.end()) {
+        return false;
+    }
+    return std::all_of(found->second.begin(), found->second.end(), [this](const auto &it) {
+        const auto service = m_services.find(it.first);
+        if (service == m_services.end() || service->second.capacity.wait >= ShortWait) {
+            return false;
+        }
+        const auto &shares = service->second.shares;
+        return std::all_of(shares.begin(), shares.end(), [](double share) {
+            return share >= 1;
+        });
+    });
+}
+
 std::map<ServiceName, RankDemand> TreeAdmission::demand() const
 {
     std::map<ServiceName, RankDemand> result;
--- a/modules/mesh/decisions/treeadmission.h
+++ b/modules/mesh/decisions/treeadmission.h
@@ -56,6 +56,11 @@
     /** Counts the request and decides on it: nothing if its tree may start, or when to come back. */
     std::optional<Duration> admit(const RouteName &route, std::uint32_t rank, TimePoint now);
 
+    /**
+     * True if no service that @p route reaches sheds requests of any rank or lets them wait for long; false for a route that isn't known
+     * yet.
+     */
+    bool isCalm(const RouteName &route) const;
     /** This node's demand for the services that are more than half busy, for the others. */
     std::map<ServiceName, RankDemand> demand() const;
     /** The services that @p route reaches with their slots, demand and admitted share for @p rank, for the log. */
--- a/modules/mesh/mesh.h
+++ b/modules/mesh/mesh.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "mesh/decisions/accountallowance.h"
-#include "mesh/decisions/retryallowance.h"
+#include "mesh/decisions/repeatbudget.h"
 #include "mesh/decisions/slotqueue.h"
 #include "mesh/decisions/treeadmission.h"
 #include "mesh/decisions/upstreamchooser.h"
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -192,18 +192,36 @@
     }
 };
 
+/** Requests and repeats that one node made for a service. */
+struct RepeatReport {
+    ServiceName service;
+    /** First requests and repeats per second, in tenths. */
+    std::uint32_t deciRequests = 0;
+    /** Repeats per second that were asked for, in tenths. */
+    std::uint32_t deciDemand = 0;
+    /** Repeats since the node started. */
+    std::uint32_t repeats = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, deciRequests, deciDemand, repeats);
+    }
+};
+
 /** What a node tells those that connected to it, several times a second. */
 struct StatusFrame {
     std::uint64_t rulesVersion = 0;
     LoadReport load;
     std::vector<AccountDemand> demand;
     std::vector<TreeDemand> trees;
+    std::vector<RepeatReport> repeats;
     std::vector<CrashReport> crashes;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(rulesVersion, load, demand, trees, crashes);
+        archive(rulesVersion, load, demand, trees, repeats, crashes);
     }
 };
 
--- a/modules/mesh/model/servicework.h
+++ b/modules/mesh/model/servicework.h
@@ -12,11 +12,13 @@
     ServiceName service;
     /** Time for which it held a slot there. */
     std::uint32_t microseconds = 0;
+    /** Times that it ran there. */
+    std::uint32_t runs = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, microseconds);
+        archive(service, microseconds, runs);
     }
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -27,8 +27,6 @@
 constexpr std::chrono::milliseconds LastRunsTime(1900);
 /** Kept back from the grace for the last answers. */
 constexpr std::chrono::milliseconds ShutDownMargin(300);
-/** Share of the fleet's allowance of repeats that nodes use; the rest covers repeats of whole subtrees. */
-constexpr double RetryShare = 0.5;
 const Logger Log("mesh");
 
 } // namespace
@@ -42,7 +40,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.clock().wallNow().time_since_epoch()).count()))
     , m_crashes(m_loop.clock())
     , m_accounts(m_loop.clock().now())
-    , m_retries({ m_environment.settings.retryRatio * RetryShare, 1, m_environment.settings.retryWindow })
+    , m_repeats({ m_environment.settings.retryRatio, m_environment.settings.retrySlack, m_environment.settings.retryWindow },
+                m_loop.clock().now())
     , m_runner({ m_loop,
                  m_environment.settings,
                  m_environment.headers,
@@ -56,7 +55,7 @@
                 m_environment.headers,
                 m_runner,
                 m_accounts,
-                m_retries,
+                m_repeats,
                 m_trees,
                 m_random,
                 m_environment.metrics,
@@ -308,7 +307,7 @@
 void MeshNode::shareBudgets()
 {
     m_accounts.setNodes(m_peers.nodes());
-    m_retries.setSlack(m_environment.settings.retrySlack * RetryShare / static_cast<double>(m_peers.nodes()));
+    m_repeats.setNodes(m_peers.nodes());
 }
 
 void MeshNode::acceptPeer(std::unique_ptr<AsyncSocket> socket)
@@ -397,6 +396,12 @@
         spending.push_back({ it.account, it.deciRate / Tenths, it.admitted });
     }
     m_accounts.reported(link.entry().node, spending, now);
+    std::vector<ServiceRepeats> repeats;
+    repeats.reserve(status.repeats.size());
+    for (const auto &it : status.repeats) {
+        repeats.push_back({ it.service, it.deciRequests / Tenths, it.deciDemand / Tenths, it.repeats });
+    }
+    m_repeats.reported(link.entry().node, repeats, now);
     constexpr double Milli = 1000;
     std::map<ServiceName, RankDemand> trees;
     for (const auto &it : status.trees) {
@@ -432,6 +437,10 @@
     for (const auto &it : m_accounts.takeReport(now)) {
         status.demand.push_back({ it.account, static_cast<std::uint32_t>(it.demand * Tenths), it.admitted });
     }
+    for (const auto &it : m_repeats.takeReport(now)) {
+        status.repeats.push_back(
+            { it.service, static_cast<std::uint32_t>(it.requests * Tenths), static_cast<std::uint32_t>(it.demand * Tenths), it.repeats });
+    }
     constexpr double Milli = 1000;
     for (const auto &[service, ranks] : m_trees.demand()) {
         TreeDemand demand{ service, {} };
@@ -461,7 +470,7 @@
         m_loop.sleepFor(TickInterval);
         const TimePoint now = m_loop.now();
         m_runner.tick();
-        if (now - m_lastStatus >= statusInterval() || m_accounts.reportIsUrgent()) {
+        if (now - m_lastStatus >= statusInterval() || m_accounts.reportIsUrgent() || m_repeats.reportIsUrgent()) {
             sendStatus();
         }
         m_peers.tick(now);
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -100,7 +100,7 @@
     std::uint64_t m_incarnation;
     CrashTracker m_crashes;
     AccountAllowance m_accounts;
-    RetryAllowance m_retries;
+    RepeatBudget m_repeats;
     TreeAdmission m_trees;
     UpstreamRunner m_runner;
     EntryPath m_entry;
--- a/modules/mesh/tests/treeadmissiontest.cpp
+++ b/modules/mesh/tests/treeadmissiontest.cpp
@@ -137,4 +137,30 @@
     EXPECT_EQ(admitted, 1000);
 }
 
+/** Guards against whole trees that run again while a service below sheds, which takes the room of trees that could still finish. */
+TEST(TreeAdmissionTest, CalmOnlyWhileNothingBelowIsShort)
+{
+    struct Case {
+        double slots;
+        Duration wait;
+        bool calm;
+    };
+    for (const auto &it : { Case{ 80, 0ms, true }, Case{ 80, 15ms, false }, Case{ 10, 0ms, false } }) {
+        TreeAdmission admission;
+        EXPECT_FALSE(admission.isCalm(Browse)) << "a route that isn't known";
+        admission.learn(Browse, { { Catalogue, 400'000, 1 }, { Reminders, 200'000, 8 } });
+        for (int n = 0; n < 2000; ++n) {
+            const TimePoint now = TimePoint{ 1h } + n * 10ms;
+            // 100 per second need 40 slots of the one service and 20 of the other.
+            static_cast<void>(admission.admit(Browse, 2, now));
+            if (n % 10 == 0) {
+                admission.setCapacity(Catalogue, { 400, 40, 0ms });
+                admission.setCapacity(Reminders, { it.slots, 20, it.wait });
+                admission.adjust(now);
+            }
+        }
+        EXPECT_EQ(admission.isCalm(Browse), it.calm) << it.slots;
+    }
+}
+
 } // namespace Pimentohollow
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -262,6 +262,7 @@
             sums.push_back(it);
         } else {
             same->microseconds += it.microseconds;
+            same->runs += it.runs;
         }
     }
 }
@@ -444,7 +445,7 @@
     const auto held = std::chrono::duration_cast<std::chrono::microseconds>(now - job->startedAt).count();
     result.work = std::move(job->callWork);
     result.callFailed = job->callFailed;
-    result.work.push_back({ m_environment.settings.service, static_cast<std::uint32_t>(held) });
+    result.work.push_back({ m_environment.settings.service, static_cast<std::uint32_t>(held), 1 });
     m_jobs.erase(job->ticket);
     std::optional<Duration> runTime;
     if (result.outcome == RunOutcome::Answered) {
