--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -67,6 +67,17 @@
         m_sentSinceLoad = 0;
     }
 
+    /** The other node can read the rules from the store, by its last status. */
+    bool readsRules() const
+    {
+        return m_readsRules;
+    }
+
+    void setReadsRules(bool reads)
+    {
+        m_readsRules = reads;
+    }
+
     std::uint32_t sentSinceLoad() const
     {
         return m_sentSinceLoad;
@@ -106,6 +117,7 @@
     LoadReport m_load;
     TimePoint m_loadAt{};
     std::uint32_t m_sentSinceLoad = 0;
+    bool m_readsRules = false;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -212,6 +212,8 @@
 /** What a node tells those that connected to it, several times a second. */
 struct StatusFrame {
     std::uint64_t rulesVersion = 0;
+    /** The sender can read the rules from the store. */
+    bool readsRules = false;
     LoadReport load;
     std::vector<AccountDemand> demand;
     std::vector<TreeDemand> trees;
@@ -221,7 +223,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(rulesVersion, load, demand, trees, repeats, crashes);
+        archive(rulesVersion, readsRules, load, demand, trees, repeats, crashes);
     }
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -3,6 +3,7 @@
 #include "core/logger.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Pimentohollow
@@ -16,11 +17,12 @@
 constexpr std::chrono::milliseconds ShortestStatusInterval(250);
 /** Status frames that a node sends per second, at most: the interval grows with the fleet. */
 constexpr std::size_t StatusFramesPerSecond = 80;
-constexpr std::chrono::milliseconds StoreRetryPause(250);
-constexpr std::chrono::seconds LongestStoreRetryPause(1);
+/** Nodes of the fleet that read the rules from the store, at least; so many that a cut hardly takes all of them. */
+constexpr std::size_t LeastRulesReaders = 6;
+/** Those of one data centre, at least: the second one is there if the first fails. */
+constexpr std::size_t LeastRulesReadersPerDataCentre = 2;
 /** Time after the first rules in which links to peers may still be missing without the node being unready. */
 constexpr std::chrono::milliseconds LinkTime(1500);
-constexpr std::chrono::milliseconds RulesRequestInterval(300);
 /** The node goes on to serve for this long after its stop was asked for: callers take two failed readiness checks to turn away. */
 constexpr std::chrono::milliseconds LeastShutDownTime(2600);
 /** Other nodes may use the upstream for this long after the stop was asked for: the node has to live longer for its own callers anyway. */
@@ -60,7 +62,7 @@
                 m_random,
                 m_environment.metrics,
                 [this] {
-                    return m_rules;
+                    return m_rules.rules();
                 },
                 [this](const ServiceName &service) {
                     return ways(service);
@@ -73,7 +75,8 @@
                                return response;
                            },
                            [this] {
-                               return m_rules ? m_rules->rules().bounds : CallerBounds{};
+                               const auto rules = m_rules.rules();
+                               return rules ? rules->rules().bounds : CallerBounds{};
                            },
                            [this] {
                                return m_closing;
@@ -91,6 +94,14 @@
                      [this](std::unique_ptr<AsyncSocket> socket) {
                          acceptPeer(std::move(socket));
                      })
+    , m_rules({ m_loop,
+                m_environment.store,
+                [this] {
+                    return readsRules();
+                },
+                [this](const TrafficRules &rules) {
+                    passRules(rules);
+                } })
     , m_peers({ m_loop,
                 m_environment.store,
                 [this] {
@@ -123,9 +134,7 @@
         return opened;
     }
     registerGauges();
-    m_loop.spawn([this] {
-        followRules();
-    });
+    m_rules.start();
     m_peers.start();
     m_loop.spawn([this] {
         tick();
@@ -166,15 +175,17 @@
     m_loop.spawn([this] {
         finishShutDown();
     });
+    m_rules.stop();
     m_peers.leave(!m_runner.departed().empty());
 }
 
 bool MeshNode::isReady() const
 {
-    if (m_closing || !m_rules) {
+    const auto rulesKnown = m_rules.knownSince();
+    if (m_closing || !rulesKnown) {
         return false;
     }
-    if (m_loop.now() - m_rulesSince > LinkTime) {
+    if (m_loop.now() - *rulesKnown > LinkTime) {
         return true;
     }
     return m_peers.isRead() && reachablePeers() * 2 >= m_peers.links().size();
@@ -188,6 +199,7 @@
 void MeshNode::abandon()
 {
     m_closing = true;
+    m_rules.stop();
     m_callers.close();
     m_peerListener.close();
     for (auto *it : std::set(m_sessions)) {
@@ -264,44 +276,38 @@
     return statusInterval() * MissedStatuses;
 }
 
-void MeshNode::followRules()
+std::size_t MeshNode::rulesReadersBefore() const
 {
-    Duration pause = StoreRetryPause;
-    bool known = false;
-    std::uint64_t position = 0;
-    while (!m_closing) {
-        const auto state = known ? m_environment.store.watchRules(position) : m_environment.store.readRules();
-        if (!state) {
-            known = known && state.error().kind != ErrorKind::NotFound;
-            Log.warning("rules_unavailable", { { "error", state.error().describe() } });
-            m_loop.sleepFor(pause);
-            pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
-            continue;
-        }
-        pause = StoreRetryPause;
-        known = true;
-        position = state->position;
-        if (state->rules) {
-            applyRules(*state->rules, "store");
-        }
+    const auto own = ownEntry();
+    const std::string ownKey = own.peerAddress.text();
+    const TimePoint now = m_loop.now();
+    return static_cast<std::size_t>(std::count_if(m_peers.links().begin(), m_peers.links().end(), [&](const auto &it) {
+        const auto &[key, link] = it;
+        return key < ownKey && link->entry().dataCentre == own.dataCentre && link->readsRules() && link->isReachable(now, suspectSilence());
+    }));
+}
+
+bool MeshNode::readsRules() const
+{
+    std::set<DataCentreName> dataCentres{ m_environment.settings.dataCentre };
+    for (const auto &[key, link] : m_peers.links()) {
+        dataCentres.insert(link->entry().dataCentre);
     }
+    const std::size_t readers = std::max(LeastRulesReadersPerDataCentre, (LeastRulesReaders + dataCentres.size() - 1) / dataCentres.size());
+    return rulesReadersBefore() < readers;
 }
 
-void MeshNode::applyRules(const TrafficRules &rules, std::string_view source)
+void MeshNode::passRules(const TrafficRules &rules)
 {
-    if (m_rules && rules.version <= m_rules->version()) {
+    if (rulesReadersBefore() > 0) {
         return;
     }
-    if (!m_rules) {
-        m_rulesSince = m_loop.now();
+    const MeshFrame frame = RulesFrame{ rules };
+    for (const auto &[key, link] : m_peers.links()) {
+        if (link->entry().dataCentre == m_environment.settings.dataCentre) {
+            link->send(frame);
+        }
     }
-    Log.info("rules_applied",
-             { { "version", std::to_string(rules.version) },
-               { "previous", std::to_string(rulesVersion()) },
-               { "source", std::string(source) },
-               { "routes", std::to_string(rules.routes.size()) },
-               { "accounts", std::to_string(rules.accounts.size()) } });
-    m_rules = std::make_shared<const RuleIndex>(rules);
 }
 
 void MeshNode::shareBudgets()
@@ -351,8 +357,10 @@
         }
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
         m_peers.add(hello->sender, false);
-    } else if (std::holds_alternative<RulesRequestFrame>(frame) && m_rules) {
-        connection->send(RulesFrame{ m_rules->rules() });
+    } else if (const auto *rules = std::get_if<RulesFrame>(&frame)) {
+        m_rules.apply(rules->rules, "passed_on");
+    } else if (std::holds_alternative<RulesRequestFrame>(frame) && m_rules.rules()) {
+        connection->send(RulesFrame{ m_rules.rules()->rules() });
     }
 }
 
@@ -377,7 +385,7 @@
     if (const auto *status = std::get_if<StatusFrame>(&frame)) {
         handleStatus(link, *status);
     } else if (const auto *rules = std::get_if<RulesFrame>(&frame)) {
-        applyRules(rules->rules, link.entry().node.text());
+        m_rules.apply(rules->rules, link.entry().node.text());
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
         if (hello->sender.peerAddress == link.entry().peerAddress && hello->sender.incarnation >= link.entry().incarnation) {
             link.setEntry(hello->sender);
@@ -389,6 +397,7 @@
 {
     const TimePoint now = m_loop.now();
     link.setLoad(status.load);
+    link.setReadsRules(status.readsRules);
     constexpr double Tenths = 10;
     std::vector<AccountSpending> spending;
     spending.reserve(status.demand.size());
@@ -414,8 +423,7 @@
     for (const auto &it : status.crashes) {
         m_crashes.merge(it);
     }
-    if (status.rulesVersion > rulesVersion() && now - m_lastRulesRequest > RulesRequestInterval) {
-        m_lastRulesRequest = now;
+    if (m_rules.shouldAsk(status.rulesVersion, link.entry().dataCentre == m_environment.settings.dataCentre)) {
         link.send(RulesRequestFrame{});
     }
 }
@@ -424,6 +432,7 @@
 {
     StatusFrame status;
     status.rulesVersion = rulesVersion();
+    status.readsRules = m_rules.storeAnswers() && !m_closing;
     status.load = m_runner.load();
     return status;
 }
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -5,6 +5,7 @@
 #include "mesh/callers/entrypath.h"
 #include "mesh/model/fleetstore.h"
 #include "mesh/node/peerdirectory.h"
+#include "mesh/node/rulesfollower.h"
 #include "mesh/upstream/upstreamrunner.h"
 
 #include <map>
@@ -64,7 +65,7 @@
 
     std::uint64_t rulesVersion() const
     {
-        return m_rules ? m_rules->version() : 0;
+        return m_rules.version();
     }
 
 private:
@@ -76,8 +77,10 @@
     Duration suspectSilence() const;
 
     void registerGauges();
-    void followRules();
-    void applyRules(const TrafficRules &rules, std::string_view source);
+    /** Nodes of the own data centre that come before this one in the duty to read the rules from the store. */
+    std::size_t rulesReadersBefore() const;
+    bool readsRules() const;
+    void passRules(const TrafficRules &rules);
     /** Divides what the fleet may spend by the number of its nodes. */
     void shareBudgets();
 
@@ -108,15 +111,13 @@
     AsyncListener m_callers;
     std::set<CallerSession *> m_sessions;
     AsyncListener m_peerListener;
+    RulesFollower m_rules;
     PeerDirectory m_peers;
 
-    std::shared_ptr<const RuleIndex> m_rules;
     /** Connections that other nodes made, with the tickets of their calls. */
     std::map<Inbound, std::map<std::uint64_t, std::uint64_t>> m_inbound;
     TimePoint m_lastStatus{};
     TimePoint m_lastAdjust{};
-    TimePoint m_lastRulesRequest{};
-    TimePoint m_rulesSince{};
     bool m_closing = false;
     TimePoint m_closingSince{};
     std::size_t m_activeRequests = 0;
--- /dev/null
+++ b/modules/mesh/node/rulesfollower.cpp
@@ -0,0 +1,110 @@
+#include "mesh/node/rulesfollower.h"
+
+#include "core/logger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds StoreRetryPause(250);
+constexpr std::chrono::seconds LongestStoreRetryPause(1);
+/** How often a node that doesn't read the rules looks whether it should. */
+constexpr std::chrono::milliseconds DutyCheckInterval(100);
+/** Time after the start in which links to the nodes that read may still be missing; shorter than the time that a version may take. */
+constexpr std::chrono::milliseconds SettleTime(800);
+constexpr std::chrono::milliseconds AskInterval(300);
+/** Time for the nodes of the own data centre to pass new rules on, before one in another data centre is asked. */
+constexpr std::chrono::milliseconds PassTime(250);
+const Logger Log("mesh");
+
+} // namespace
+
+RulesFollower::RulesFollower(Environment environment)
+    : m_environment(std::move(environment))
+{
+}
+
+void RulesFollower::start()
+{
+    m_environment.loop.spawn([this] {
+        follow();
+    });
+}
+
+void RulesFollower::stop()
+{
+    m_stopped = true;
+}
+
+void RulesFollower::follow()
+{
+    auto &loop = m_environment.loop;
+    const TimePoint settledAt = loop.now() + SettleTime;
+    Duration pause = StoreRetryPause;
+    bool known = false;
+    std::uint64_t position = 0;
+    while (!m_stopped) {
+        if (known && (loop.now() < settledAt || !m_environment.reads())) {
+            loop.sleepFor(DutyCheckInterval);
+            continue;
+        }
+        const auto state = known ? m_environment.store.watchRules(position) : m_environment.store.readRules();
+        m_storeAnswers = state.has_value();
+        if (!state) {
+            known = known && state.error().kind != ErrorKind::NotFound;
+            Log.warning("rules_unavailable", { { "error", state.error().describe() } });
+            loop.sleepFor(pause);
+            pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+            continue;
+        }
+        pause = StoreRetryPause;
+        known = true;
+        position = state->position;
+        if (state->rules && state->rules->version > version()) {
+            apply(*state->rules, "store");
+            m_environment.pass(*state->rules);
+        }
+    }
+}
+
+void RulesFollower::apply(const TrafficRules &rules, std::string_view source)
+{
+    if (m_rules && rules.version <= version()) {
+        return;
+    }
+    if (!m_rules) {
+        m_knownSince = m_environment.loop.now();
+    }
+    Log.info("rules_applied",
+             { { "version", std::to_string(rules.version) },
+               { "previous", std::to_string(version()) },
+               { "source", std::string(source) },
+               { "routes", std::to_string(rules.routes.size()) },
+               { "accounts", std::to_string(rules.accounts.size()) } });
+    m_rules = std::make_shared<const RuleIndex>(rules);
+    m_newerSince.reset();
+}
+
+bool RulesFollower::shouldAsk(std::uint64_t peerVersion, bool near)
+{
+    const TimePoint now = m_environment.loop.now();
+    if (peerVersion <= version()) {
+        return false;
+    }
+    if (!m_newerSince) {
+        m_newerSince = now;
+    }
+    const bool due = !m_rules || near || now - *m_newerSince >= PassTime;
+    if (!due || now - m_askedAt < AskInterval) {
+        return false;
+    }
+    m_askedAt = now;
+    return true;
+}
+
+} // namespace Pimentohollow
--- a/testing/standins/mesh/rowstore.cpp
+++ b/testing/standins/mesh/rowstore.cpp
@@ -161,6 +161,9 @@
             }
             rows.add(object);
         }
+        if (rows.size() > 0) {
+            ++m_feedsWithRows[query.at("table")];
+        }
         if (rows.size() > 0 || m_loop.clock().now() >= end) {
             Poco::JSON::Object body;
             body.set("rows", rows);
--- a/testing/standins/mesh/rowstore.h
+++ b/testing/standins/mesh/rowstore.h
@@ -48,6 +48,13 @@
         return m_faults;
     }
 
+    /** Answers to feeds of a table that carried rows. */
+    std::size_t feedsWithRows(const std::string &table) const
+    {
+        const auto found = m_feedsWithRows.find(table);
+        return found == m_feedsWithRows.end() ? 0 : found->second;
+    }
+
     /** Calls of any kind since the start. */
     std::size_t calls() const
     {
@@ -79,6 +86,7 @@
     std::map<RowKey, Row> m_rows;
     std::vector<Change> m_changes;
     std::size_t m_calls = 0;
+    std::map<std::string, std::size_t> m_feedsWithRows;
 };
 
 } // namespace Pimentohollow::Testing
