Write the end of an upstream before acknowledging it

A node that was killed right after it acknowledged the end of its upstream could forget it: the entry was written afterwards, and a late announcement brought the upstream back. The acknowledgement now waits for the store, at most 3 s (the platform wants it within 4 s). Tried with it and reverted: a restarted node recalls its upstream from the store instead of waiting for its announcement.

--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds LeastShutDownTime(2600);
 /** Other nodes may use the upstream for this long after the stop was asked for: the node has to live longer for its own callers anyway. */
 constexpr std::chrono::milliseconds LastRunsTime(1900);
+/** Below the four seconds in which the platform wants an acknowledgement. */
+constexpr std::chrono::seconds DepartureWriteTime(3);
 /** Kept back from the grace for the last answers. */
 constexpr std::chrono::milliseconds ShutDownMargin(300);
 const Logger Log("mesh");
@@ -216,6 +218,15 @@
     m_runner.close();
 }
 
+bool MeshNode::awaitDepartureWritten()
+{
+    const bool written = m_runner.departed().empty() || m_peers.awaitWritten(m_loop.clock().now() + DepartureWriteTime);
+    if (!written) {
+        Log.warning("departure_not_written", { { "upstream", m_runner.departed() } });
+    }
+    return written;
+}
+
 bool MeshNode::depart(const std::string &upstreamId)
 {
     if (!m_runner.depart(upstreamId)) {
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -57,6 +57,11 @@
     }
 
     bool depart(const std::string &upstreamId);
+    /**
+     * Waits until the store has the end of an upstream, so that a process that is killed right after the acknowledgement doesn't forget it.
+     * Not longer than a fixed time: while the store is away, the upstream must be able to leave all the same. False if it isn't written.
+     */
+    bool awaitDepartureWritten();
 
     void setShutdownGrace(Duration grace)
     {
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds DirectoryPause(300);
 /** Entries of nodes that could not be reached for this long are removed from the store. */
 constexpr std::chrono::seconds DeadPeerTime(60);
+constexpr std::chrono::milliseconds WrittenCheckInterval(5);
 const Logger Log("mesh");
 
 std::string keyOf(const DirectoryEntry &entry)
@@ -117,6 +118,14 @@
     });
 }
 
+bool PeerDirectory::awaitWritten(TimePoint deadline)
+{
+    while (m_writing && m_environment.loop.clock().now() < deadline) {
+        m_environment.loop.sleepFor(WrittenCheckInterval);
+    }
+    return !m_writing;
+}
+
 void PeerDirectory::write()
 {
     Duration pause = StoreRetryPause;
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -36,6 +36,8 @@
     void start();
     /** Writes the own entry, again and again until the store has taken it. */
     void publish();
+    /** Waits until the own entry is written; false if it isn't by @p deadline. */
+    bool awaitWritten(TimePoint deadline);
     /** The node ends and doesn't write its entry any more. @param withdraws removes the entry as well */
     void leave(bool withdraws);
     /** Closes all links. */
