--- a/testing/soak/loopbackproxy.cpp
+++ b/testing/soak/loopbackproxy.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration ConnectTime = 1s;
 constexpr Duration WriteTime = 30s;
+constexpr std::size_t ReadBytes = std::size_t{ 16 } * 1024;
 
 } // namespace
 
@@ -62,7 +63,7 @@
 {
     AsyncSocket &from = requests ? *pair->caller : *pair->target;
     AsyncSocket &to = requests ? *pair->target : *pair->caller;
-    std::array<char, 16 * 1024> bytes{};
+    std::array<char, ReadBytes> bytes{};
     while (true) {
         const auto count = from.read(bytes, TimePoint::max());
         if (!count) {
