--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/backoff.h"
 #include "core/cancellation.h"
 #include "core/clock.h"
 #include "core/enumtable.h"
--- a/modules/mesh/links/meshlink.cpp
+++ b/modules/mesh/links/meshlink.cpp
@@ -2,7 +2,6 @@
 
 #include "core/logger.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Pimentohollow
@@ -26,7 +25,7 @@
     : m_loop(loop)
     , m_entry(std::move(entry))
     , m_handlers(std::move(handlers))
-    , m_pause(ShortestPause)
+    , m_backoff(ShortestPause, LongestPause)
     , m_downSince(loop.now())
 {
 }
@@ -55,7 +54,7 @@
 {
     const bool moved = !(entry.peerAddress == m_entry.peerAddress);
     m_entry = std::move(entry);
-    m_pause = ShortestPause;
+    m_backoff.reset();
     if (moved && m_connection) {
         m_connection->close();
         handleLost();
@@ -137,13 +136,12 @@
             m_connection->start();
             m_connection->send(m_handlers.hello());
             m_downSince.reset();
-            m_pause = ShortestPause;
+            m_backoff.reset();
             Log.info("peer_connected", { { "peer", m_entry.node.text() }, { "address", m_entry.peerAddress.text() } });
             m_handlers.changed(*this);
             break;
         }
-        m_loop.sleepFor(m_pause);
-        m_pause = std::min<Duration>(m_pause * 2, LongestPause);
+        m_loop.sleepFor(m_backoff.next());
     }
     m_dialling = false;
 }
--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/backoff.h"
 #include "mesh/links/meshconnection.h"
 
 #include <unordered_map>
@@ -109,7 +110,7 @@
     std::shared_ptr<MeshConnection> m_connection;
     bool m_stopped = false;
     bool m_dialling = false;
-    Duration m_pause{};
+    Backoff m_backoff;
     std::optional<TimePoint> m_downSince;
     TimePoint m_lastPing{};
     std::uint64_t m_nextCall = 0;
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -1,6 +1,7 @@
 #include "mesh/node/peerdirectory.h"
 
 #include "core/logger.h"
+#include "mesh/node/storebackoff.h"
 
 #include <algorithm>
 #include <set>
@@ -12,9 +13,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds StoreRetryPause(250);
-/** Entries that lapsed while the store was away have to be back 2 s after its return. */
-constexpr std::chrono::seconds LongestStoreRetryPause(1);
 /** Changes of the directory are collected for this long, so that a fleet that starts doesn't wake every node for every other one. */
 constexpr std::chrono::milliseconds DirectoryPause(300);
 /** Entries of nodes that could not be reached for this long are removed from the store. */
@@ -68,17 +66,16 @@
 
 void PeerDirectory::follow()
 {
-    Duration pause = StoreRetryPause;
+    Backoff backoff = storeBackoff();
     std::uint64_t position = 0;
     while (!m_left) {
         const auto followed = followOnce(position);
         if (followed) {
-            pause = StoreRetryPause;
+            backoff.reset();
             continue;
         }
         Log.warning("directory_unavailable", { { "error", followed.error().describe() } });
-        m_environment.loop.sleepFor(pause);
-        pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+        m_environment.loop.sleepFor(backoff.next());
     }
 }
 
@@ -128,15 +125,14 @@
 
 void PeerDirectory::write()
 {
-    Duration pause = StoreRetryPause;
+    Backoff backoff = storeBackoff();
     while (m_writeAgain) {
         m_writeAgain = false;
         const auto entry = m_environment.ownEntry();
         if (const auto published = m_environment.store.publish(entry); !published) {
             Log.warning("publish_failed", { { "error", published.error().describe() } });
             m_writeAgain = true;
-            m_environment.loop.sleepFor(pause);
-            pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+            m_environment.loop.sleepFor(backoff.next());
         }
     }
     m_writing = false;
--- a/modules/mesh/node/rulesfollower.cpp
+++ b/modules/mesh/node/rulesfollower.cpp
@@ -1,8 +1,8 @@
 #include "mesh/node/rulesfollower.h"
 
 #include "core/logger.h"
+#include "mesh/node/storebackoff.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Pimentohollow
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds StoreRetryPause(250);
-constexpr std::chrono::seconds LongestStoreRetryPause(1);
 /** How often a node that doesn't read the rules looks whether it should. */
 constexpr std::chrono::milliseconds DutyCheckInterval(100);
 /** Time after the start in which links to the nodes that read may still be missing; shorter than the time that a version may take. */
@@ -45,7 +43,7 @@
 {
     auto &loop = m_environment.loop;
     const TimePoint settledAt = loop.now() + SettleTime;
-    Duration pause = StoreRetryPause;
+    Backoff backoff = storeBackoff();
     bool known = false;
     std::uint64_t position = 0;
     while (!m_stopped) {
@@ -58,11 +56,10 @@
         if (!state) {
             known = known && state.error().kind != ErrorKind::NotFound;
             Log.warning("rules_unavailable", { { "error", state.error().describe() } });
-            loop.sleepFor(pause);
-            pause = std::min<Duration>(pause * 2, LongestStoreRetryPause);
+            loop.sleepFor(backoff.next());
             continue;
         }
-        pause = StoreRetryPause;
+        backoff.reset();
         known = true;
         position = state->position;
         if (state->rules && state->rules->version > version()) {
