Tell restarted nodes the state of account buckets; count silent nodes sooner

The first status of a connection now holds all accounts with what their buckets lack, silence is 1.6 report intervals, and buckets are followed from the first rules on. RepeatBudget uses the same exchange. StatusExchange takes the conversion of status frames out of MeshNode. Fail first: AccountAllowanceTest CutAndVeryHot (1,090 of 1,010), ThirdCutAndVeryHot (1,089), RestartsOfManyAndHot (1,073); RegularFrameTellsSpendingSinceTheFirst. Now 981, 981, 928.

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -144,8 +144,7 @@
 {
     const TimePoint now = m_environment.loop.now();
     if (entry.account != nullptr) {
-        constexpr double Milli = 1000;
-        const AccountLimit limit{ entry.account->milliRate / Milli, static_cast<double>(entry.account->burst) };
+        const AccountLimit limit = limitOf(*entry.account);
         if (const auto wait = m_environment.accounts.admit(entry.account->name, limit, now)) {
             const auto &account = entry.account->name;
             const auto inputs = fmt::format("share={:.3f} level={:.1f} rate={:.1f} burst={:.0f}",
--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -15,8 +15,11 @@
 /** How long a silent node keeps its part; longer than the partitions that the users' platform announces. */
 constexpr std::chrono::seconds PeerMemory(15);
 constexpr std::chrono::milliseconds PeerCheckInterval(100);
-/** A node that misses about two reports counts as silent. */
-constexpr std::chrono::milliseconds SilentTime(700);
+constexpr std::chrono::milliseconds UsualReportInterval(250);
+/** Report intervals after which a node counts as silent: the second report is missing, or the first one is very late. */
+constexpr double SilentIntervals = 1.6;
+/** A node that has heard the others for this long knows what was spent; before, it doesn't tell others its level. */
+constexpr std::chrono::seconds LearningTime(2);
 /** Demand that every node is assumed to have, as a part of the average, so that a first request finds a token. */
 constexpr double BaseDemandShare = 0.1;
 /** Part of the burst that a node assumes after its start: it doesn't know what was spent before. */
@@ -47,6 +50,12 @@
 AccountAllowance::AccountAllowance(TimePoint startedAt)
     : m_startedAt(startedAt)
 {
+    setReportInterval(UsualReportInterval);
+}
+
+void AccountAllowance::setReportInterval(Duration interval)
+{
+    m_silentTime = std::chrono::duration_cast<Duration>(interval * SilentIntervals);
 }
 
 void AccountAllowance::setNodes(std::size_t nodes)
@@ -69,6 +78,8 @@
             account.level -= restarted ? it.admitted : it.admitted - found->second.admitted;
             forget(account, found->second);
             before.erase(found);
+        } else {
+            recordFirst(account, it, now);
         }
         account.othersDemand += it.demand;
         account.othersDemandSeconds += it.demand * nowSeconds;
@@ -81,6 +92,41 @@
     }
 }
 
+void AccountAllowance::recordFirst(Account &account, const AccountSpending &spending, TimePoint now) const
+{
+    if (!spending.missing) {
+        // The node has started lately, or had no requests of the account: all that it admitted was spent since.
+        account.level -= spending.admitted;
+        return;
+    }
+    // The other node doesn't know yet what was admitted here.
+    const double missing = *spending.missing + account.admitted;
+    if (!account.started) {
+        account.toldMissing = std::max(account.toldMissing.value_or(0), missing);
+        account.toldAt = now;
+        return;
+    }
+    const double told = account.limit.burst - missing;
+    account.level = knowsLevel(account, now) ? std::min(levelNow(account, now), told) : told;
+    account.levelAt = now;
+    account.toldMissing = missing;
+}
+
+bool AccountAllowance::knowsLevel(const Account &account, TimePoint now) const
+{
+    return account.toldMissing || now - m_startedAt >= LearningTime;
+}
+
+double AccountAllowance::levelNow(const Account &account, TimePoint now)
+{
+    return std::min(account.limit.burst, account.level + account.limit.ratePerSecond * elapsedSeconds(account.levelAt, now));
+}
+
+void AccountAllowance::setLimit(const AccountName &name, const AccountLimit &limit, TimePoint now)
+{
+    refreshed(name, limit, now);
+}
+
 std::optional<Duration> AccountAllowance::admit(const AccountName &name, const AccountLimit &limit, TimePoint now)
 {
     auto &account = refreshed(name, limit, now);
@@ -140,6 +186,21 @@
     return result;
 }
 
+std::vector<AccountSpending> AccountAllowance::snapshot(TimePoint now) const
+{
+    std::vector<AccountSpending> result;
+    for (const auto &[name, account] : m_accounts) {
+        AccountSpending spending{ name,
+                                  account.demand * std::exp(-elapsedSeconds(account.demandAt, now) / DemandSeconds),
+                                  account.admitted };
+        if (account.started && knowsLevel(account, now)) {
+            spending.missing = account.limit.burst - levelNow(account, now);
+        }
+        result.push_back(std::move(spending));
+    }
+    return result;
+}
+
 double AccountAllowance::share(const AccountName &name, TimePoint now)
 {
     auto &account = m_accounts[name];
@@ -159,13 +220,13 @@
     auto &account = m_accounts[name];
     if (!account.started) {
         account.started = true;
-        account.level += limit.burst * StartLevel;
         account.shareAt = now;
         account.shareTokens = 1;
-        account.levelAt = std::min(m_startedAt, now);
+        account.level += account.toldMissing ? limit.burst - *account.toldMissing : limit.burst * StartLevel;
+        account.levelAt = account.toldMissing ? account.toldAt : std::min(m_startedAt, now);
     }
     account.limit = limit;
-    account.level = std::min(limit.burst, account.level + limit.ratePerSecond * elapsedSeconds(account.levelAt, now));
+    account.level = levelNow(account, now);
     account.levelAt = now;
     return account;
 }
@@ -232,7 +293,7 @@
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         const Duration silence = now - it->second.heardAt;
         if (silence <= PeerMemory) {
-            if (silence > SilentTime) {
+            if (silence > m_silentTime) {
                 m_silent.push_back(it->first);
             }
             ++it;
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -2,7 +2,9 @@
 
 #include "core/clock.h"
 #include "core/names.h"
+#include "mesh/model/trafficrules.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -19,6 +21,12 @@
     bool operator==(const AccountLimit &) const = default;
 };
 
+inline AccountLimit limitOf(const TrafficAccount &account)
+{
+    constexpr double Milli = 1000;
+    return { account.milliRate / Milli, static_cast<double>(account.burst) };
+}
+
 /** What one node did for one account. */
 struct AccountSpending {
     AccountName account;
@@ -26,6 +34,8 @@
     double demand = 0;
     /** Requests admitted since the node started. */
     std::uint32_t admitted = 0;
+    /** Tokens that the fleet's bucket lacks to be full. Only in a snapshot, and only if the node has known the bucket for long enough. */
+    std::optional<double> missing = std::nullopt;
 };
 
 /**
@@ -47,9 +57,16 @@
 
     /** @param nodes known to the directory, this one included */
     void setNodes(std::size_t nodes);
-    /** Takes what another node reported. */
+    /** How often nodes report; one that misses a report counts as silent. */
+    void setReportInterval(Duration interval);
+    /**
+     * Takes what another node reported. The first report of a node must be its snapshot(): an account that appears later in its reports is
+     * taken to have spent nothing before.
+     */
     void reported(const NodeName &node, const std::vector<AccountSpending> &spending, TimePoint now);
 
+    /** Starts to follow the bucket of an account, so that what other nodes take is known before the first request here. */
+    void setLimit(const AccountName &account, const AccountLimit &limit, TimePoint now);
     /** Counts the request and decides on it: nothing if it is admitted, or when to come back. */
     std::optional<Duration> admit(const AccountName &account, const AccountLimit &limit, TimePoint now);
     /** Tokens that the others have surely not taken; what admit() would find in the bucket. */
@@ -60,6 +77,8 @@
     std::uint32_t admitted(const AccountName &account) const;
     /** What this node did, for the others; accounts without demand are left out. */
     std::vector<AccountSpending> takeReport(TimePoint now);
+    /** All accounts with the state of their buckets, for a node that hears this one for the first time. */
+    std::vector<AccountSpending> snapshot(TimePoint now) const;
     /** So much was admitted since the last report that the others should know at once. */
     bool reportIsUrgent() const
     {
@@ -78,6 +97,9 @@
         double level = 0;
         TimePoint levelAt{};
         bool started = false;
+        /** What another node told of the bucket, and when: tokens that it lacks to be full. */
+        std::optional<double> toldMissing;
+        TimePoint toldAt{};
         /** This node's requests per second, a moving average. */
         double demand = 0;
         TimePoint demandAt{};
@@ -102,6 +124,10 @@
 
     Account &refreshed(const AccountName &account, const AccountLimit &limit, TimePoint now);
     static void measure(Account &account, double count, TimePoint now);
+    static double levelNow(const Account &account, TimePoint now);
+    /** Takes the first report of a node on an account. */
+    void recordFirst(Account &account, const AccountSpending &spending, TimePoint now) const;
+    bool knowsLevel(const Account &account, TimePoint now) const;
     void forget(Account &account, const PeerAccount &peer);
     /** Demand of the nodes that were not heard lately; their share of all demand is kept for them. */
     double silentDemand(const AccountName &name, const Account &account) const;
@@ -114,6 +140,7 @@
     std::size_t unheardNodes() const;
 
     TimePoint m_startedAt;
+    Duration m_silentTime{};
     std::size_t m_nodes = 1;
     bool m_urgent = false;
     TimePoint m_nextPeerCheck{};
--- a/modules/mesh/decisions/repeatbudget.cpp
+++ b/modules/mesh/decisions/repeatbudget.cpp
@@ -44,6 +44,11 @@
     m_repeats.setNodes(nodes);
 }
 
+void RepeatBudget::setReportInterval(Duration interval)
+{
+    m_repeats.setReportInterval(interval);
+}
+
 void RepeatBudget::reported(const NodeName &node, const std::vector<ServiceRepeats> &services, TimePoint now)
 {
     auto &peer = m_peers[node];
@@ -53,7 +58,7 @@
     spending.reserve(services.size());
     for (const auto &it : services) {
         peer.rates[it.service] = it.requests;
-        spending.push_back({ nameFor(it.service), it.demand, it.repeats });
+        spending.push_back({ nameFor(it.service), it.demand, it.repeats, it.missing });
     }
     m_repeats.reported(node, spending, now);
 }
@@ -78,6 +83,17 @@
     return result;
 }
 
+std::vector<ServiceRepeats> RepeatBudget::snapshot(TimePoint now) const
+{
+    std::vector<ServiceRepeats> result;
+    for (const auto &it : m_repeats.snapshot(now)) {
+        const ServiceName service(it.account.text());
+        const auto found = m_requests.find(service);
+        result.push_back({ service, found == m_requests.end() ? 0 : rateOf(found->second, now), it.demand, it.admitted, it.missing });
+    }
+    return result;
+}
+
 void RepeatBudget::recordRequest(const ServiceName &service, TimePoint now)
 {
     ownRate(service, now);
@@ -103,11 +119,16 @@
     m_repeats.spend(nameFor(service), limitOf(service, now), now);
 }
 
+double RepeatBudget::rateOf(const Requests &requests, TimePoint now) const
+{
+    const double elapsed = std::chrono::duration<double>(now - requests.updated).count();
+    return requests.own * std::exp(-elapsed / std::chrono::duration<double>(m_settings.window).count());
+}
+
 double RepeatBudget::ownRate(const ServiceName &service, TimePoint now)
 {
     auto &it = m_requests[service];
-    const double elapsed = std::chrono::duration<double>(now - it.updated).count();
-    it.own *= std::exp(-elapsed / std::chrono::duration<double>(m_settings.window).count());
+    it.own = rateOf(it, now);
     it.updated = now;
     return it.own;
 }
--- a/modules/mesh/decisions/repeatbudget.h
+++ b/modules/mesh/decisions/repeatbudget.h
@@ -4,6 +4,7 @@
 #include "mesh/model/servicework.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +29,8 @@
     double demand = 0;
     /** Repeats since the node started, those of subtrees included. */
     std::uint32_t repeats = 0;
+    /** Repeats that the fleet's budget lacks to be full. Only in a snapshot, as in AccountSpending. */
+    std::optional<double> missing = std::nullopt;
 };
 
 /** Calls that one request of a route brings to a service, on average. */
@@ -53,10 +56,14 @@
 
     /** @param nodes known to the directory, this one included */
     void setNodes(std::size_t nodes);
-    /** Takes what another node reported. */
+    /** How often nodes report. */
+    void setReportInterval(Duration interval);
+    /** Takes what another node reported; its first report must be its snapshot(). */
     void reported(const NodeName &node, const std::vector<ServiceRepeats> &services, TimePoint now);
     /** What this node did, for the others; services without requests are left out. */
     std::vector<ServiceRepeats> takeReport(TimePoint now);
+    /** All services with the state of their budgets, for a node that hears this one for the first time. */
+    std::vector<ServiceRepeats> snapshot(TimePoint now) const;
     /** So much was spent since the last report that the others should know at once. */
     bool reportIsUrgent() const
     {
@@ -85,6 +92,7 @@
         std::unordered_map<ServiceName, double> rates;
     };
 
+    double rateOf(const Requests &requests, TimePoint now) const;
     double ownRate(const ServiceName &service, TimePoint now);
     AccountLimit limitOf(const ServiceName &service, TimePoint now);
     bool hasRoom(const ServiceName &service, double calls, double reservedShare, TimePoint now);
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -172,11 +172,13 @@
     std::uint32_t deciRate = 0;
     /** Requests admitted since the node started. */
     std::uint32_t admitted = 0;
+    /** Tokens in tenths that the fleet's bucket lacks to be full, plus one; 0 if it isn't told. */
+    std::uint32_t deciMissing = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(account, deciRate, admitted);
+        archive(account, deciRate, admitted, deciMissing);
     }
 };
 
@@ -201,15 +203,20 @@
     std::uint32_t deciDemand = 0;
     /** Repeats since the node started. */
     std::uint32_t repeats = 0;
+    /** Repeats in tenths that the fleet's budget lacks to be full, plus one; 0 if it isn't told. */
+    std::uint32_t deciMissing = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(service, deciRequests, deciDemand, repeats);
+        archive(service, deciRequests, deciDemand, repeats, deciMissing);
     }
 };
 
-/** What a node tells those that connected to it, several times a second. */
+/**
+ * What a node tells those that connected to it, several times a second. The first one of a connection holds all accounts and services,
+ * with the state of their buckets; the others only those with demand.
+ */
 struct StatusFrame {
     std::uint64_t rulesVersion = 0;
     /** The sender can read the rules from the store. */
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -46,6 +46,7 @@
     , m_accounts(m_loop.clock().now())
     , m_repeats({ m_environment.settings.retryRatio, m_environment.settings.retrySlack, m_environment.settings.retryWindow },
                 m_loop.clock().now())
+    , m_exchange(m_accounts, m_repeats, m_trees, m_crashes)
     , m_runner({ m_loop,
                  m_environment.settings,
                  m_environment.headers,
@@ -103,6 +104,9 @@
                 },
                 [this](const TrafficRules &rules) {
                     passRules(rules);
+                },
+                [this](const TrafficRules &rules) {
+                    m_exchange.setAccounts(rules.accounts, m_loop.now());
                 } })
     , m_peers({ m_loop,
                 m_environment.store,
@@ -323,8 +327,7 @@
 
 void MeshNode::shareBudgets()
 {
-    m_accounts.setNodes(m_peers.nodes());
-    m_repeats.setNodes(m_peers.nodes());
+    m_exchange.setFleet(m_peers.nodes(), statusInterval());
 }
 
 void MeshNode::acceptPeer(std::unique_ptr<AsyncSocket> socket)
@@ -352,7 +355,9 @@
     m_inbound.emplace(connection, std::map<std::uint64_t, std::uint64_t>());
     connection->start();
     connection->send(HelloFrame{ ownEntry() });
-    connection->send(makeStatus());
+    StatusFrame status = makeStatus();
+    m_exchange.fillFirst(status, m_loop.now());
+    connection->send(std::move(status));
 }
 
 void MeshNode::handleInbound(const Inbound &connection, MeshFrame &&frame)
@@ -409,31 +414,7 @@
     const TimePoint now = m_loop.now();
     link.setLoad(status.load);
     link.setReadsRules(status.readsRules);
-    constexpr double Tenths = 10;
-    std::vector<AccountSpending> spending;
-    spending.reserve(status.demand.size());
-    for (const auto &it : status.demand) {
-        spending.push_back({ it.account, it.deciRate / Tenths, it.admitted });
-    }
-    m_accounts.reported(link.entry().node, spending, now);
-    std::vector<ServiceRepeats> repeats;
-    repeats.reserve(status.repeats.size());
-    for (const auto &it : status.repeats) {
-        repeats.push_back({ it.service, it.deciRequests / Tenths, it.deciDemand / Tenths, it.repeats });
-    }
-    m_repeats.reported(link.entry().node, repeats, now);
-    constexpr double Milli = 1000;
-    std::map<ServiceName, RankDemand> trees;
-    for (const auto &it : status.trees) {
-        auto &ranks = trees[it.service];
-        for (std::size_t n = 0; n < std::min(AdmissionRanks, it.milliSlots.size()); ++n) {
-            ranks[n] = it.milliSlots[n] / Milli;
-        }
-    }
-    m_trees.reported(link.entry().node, trees, now);
-    for (const auto &it : status.crashes) {
-        m_crashes.merge(it);
-    }
+    m_exchange.take(link.entry().node, status, now);
     if (m_rules.shouldAsk(status.rulesVersion, link.entry().dataCentre == m_environment.settings.dataCentre)) {
         link.send(RulesRequestFrame{});
     }
@@ -453,23 +434,7 @@
     const TimePoint now = m_loop.now();
     m_lastStatus = now;
     StatusFrame status = makeStatus();
-    constexpr double Tenths = 10;
-    for (const auto &it : m_accounts.takeReport(now)) {
-        status.demand.push_back({ it.account, static_cast<std::uint32_t>(it.demand * Tenths), it.admitted });
-    }
-    for (const auto &it : m_repeats.takeReport(now)) {
-        status.repeats.push_back(
-            { it.service, static_cast<std::uint32_t>(it.requests * Tenths), static_cast<std::uint32_t>(it.demand * Tenths), it.repeats });
-    }
-    constexpr double Milli = 1000;
-    for (const auto &[service, ranks] : m_trees.demand()) {
-        TreeDemand demand{ service, {} };
-        for (const double it : ranks) {
-            demand.milliSlots.push_back(static_cast<std::uint32_t>(it * Milli));
-        }
-        status.trees.push_back(std::move(demand));
-    }
-    status.crashes = m_crashes.takeReports();
+    m_exchange.fillRegular(status, now);
     const MeshFrame frame = std::move(status);
     for (const auto &[connection, calls] : m_inbound) {
         connection->send(frame);
@@ -490,7 +455,7 @@
         m_loop.sleepFor(TickInterval);
         const TimePoint now = m_loop.now();
         m_runner.tick();
-        if (now - m_lastStatus >= statusInterval() || m_accounts.reportIsUrgent() || m_repeats.reportIsUrgent()) {
+        if (now - m_lastStatus >= statusInterval() || m_exchange.isUrgent()) {
             sendStatus();
         }
         m_peers.tick(now);
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -6,6 +6,7 @@
 #include "mesh/model/fleetstore.h"
 #include "mesh/node/peerdirectory.h"
 #include "mesh/node/rulesfollower.h"
+#include "mesh/node/statusexchange.h"
 #include "mesh/upstream/upstreamrunner.h"
 
 #include <map>
@@ -110,6 +111,7 @@
     AccountAllowance m_accounts;
     RepeatBudget m_repeats;
     TreeAdmission m_trees;
+    StatusExchange m_exchange;
     UpstreamRunner m_runner;
     EntryPath m_entry;
     CallerSession::Environment m_callerEnvironment;
--- a/modules/mesh/node/rulesfollower.cpp
+++ b/modules/mesh/node/rulesfollower.cpp
@@ -85,6 +85,7 @@
                { "accounts", std::to_string(rules.accounts.size()) } });
     m_rules = std::make_shared<const RuleIndex>(rules);
     m_newerSince.reset();
+    m_environment.applied(rules);
 }
 
 bool RulesFollower::shouldAsk(std::uint64_t peerVersion, bool near)
--- a/modules/mesh/node/rulesfollower.h
+++ b/modules/mesh/node/rulesfollower.h
@@ -27,6 +27,8 @@
         std::function<bool()> reads;
         /** Newer rules have come from the store and are to be passed on. */
         std::function<void(const TrafficRules &)> pass;
+        /** New rules are in force, wherever they came from. */
+        std::function<void(const TrafficRules &)> applied;
     };
 
     explicit RulesFollower(Environment environment);
--- /dev/null
+++ b/modules/mesh/node/statusexchange.cpp
@@ -0,0 +1,130 @@
+#include "mesh/node/statusexchange.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+/** Rates and tokens travel in tenths, slots in thousandths. */
+constexpr double Tenths = 10;
+constexpr double Milli = 1000;
+
+std::uint32_t encodeTenths(double value)
+{
+    return static_cast<std::uint32_t>(std::max(0.0, value) * Tenths);
+}
+
+/** One more than the tenths, so that 0 says that nothing is told. */
+std::uint32_t encodeMissing(const std::optional<double> &missing)
+{
+    return missing ? encodeTenths(*missing) + 1 : 0;
+}
+
+std::optional<double> decodeMissing(std::uint32_t deciMissing)
+{
+    if (deciMissing == 0) {
+        return std::nullopt;
+    }
+    return (deciMissing - 1) / Tenths;
+}
+
+void fill(StatusFrame &status, const std::vector<AccountSpending> &spending, const std::vector<ServiceRepeats> &repeats)
+{
+    status.demand.reserve(spending.size());
+    for (const auto &it : spending) {
+        status.demand.push_back({ it.account, encodeTenths(it.demand), it.admitted, encodeMissing(it.missing) });
+    }
+    status.repeats.reserve(repeats.size());
+    for (const auto &it : repeats) {
+        status.repeats.push_back({ it.service, encodeTenths(it.requests), encodeTenths(it.demand), it.repeats, encodeMissing(it.missing) });
+    }
+}
+
+} // namespace
+
+StatusExchange::StatusExchange(AccountAllowance &accounts, RepeatBudget &repeats, TreeAdmission &trees, CrashTracker &crashes)
+    : m_accounts(accounts)
+    , m_repeats(repeats)
+    , m_trees(trees)
+    , m_crashes(crashes)
+{
+}
+
+void StatusExchange::setFleet(std::size_t nodes, Duration interval)
+{
+    m_accounts.setNodes(nodes);
+    m_accounts.setReportInterval(interval);
+    m_repeats.setNodes(nodes);
+    m_repeats.setReportInterval(interval);
+}
+
+void StatusExchange::setAccounts(const std::vector<TrafficAccount> &accounts, TimePoint now)
+{
+    for (const auto &it : accounts) {
+        m_accounts.setLimit(it.name, limitOf(it), now);
+    }
+}
+
+void StatusExchange::fillRegular(StatusFrame &status, TimePoint now)
+{
+    fill(status, m_accounts.takeReport(now), m_repeats.takeReport(now));
+    fillTrees(status);
+    status.crashes = m_crashes.takeReports();
+}
+
+void StatusExchange::fillFirst(StatusFrame &status, TimePoint now) const
+{
+    fill(status, m_accounts.snapshot(now), m_repeats.snapshot(now));
+    fillTrees(status);
+}
+
+bool StatusExchange::isUrgent() const
+{
+    return m_accounts.reportIsUrgent() || m_repeats.reportIsUrgent();
+}
+
+void StatusExchange::take(const NodeName &sender, const StatusFrame &status, TimePoint now)
+{
+    std::vector<AccountSpending> spending;
+    spending.reserve(status.demand.size());
+    for (const auto &it : status.demand) {
+        spending.push_back({ it.account, it.deciRate / Tenths, it.admitted, decodeMissing(it.deciMissing) });
+    }
+    m_accounts.reported(sender, spending, now);
+    std::vector<ServiceRepeats> repeats;
+    repeats.reserve(status.repeats.size());
+    for (const auto &it : status.repeats) {
+        repeats.push_back({ it.service, it.deciRequests / Tenths, it.deciDemand / Tenths, it.repeats, decodeMissing(it.deciMissing) });
+    }
+    m_repeats.reported(sender, repeats, now);
+    std::map<ServiceName, RankDemand> trees;
+    for (const auto &it : status.trees) {
+        auto &ranks = trees[it.service];
+        for (std::size_t n = 0; n < std::min(AdmissionRanks, it.milliSlots.size()); ++n) {
+            ranks.at(n) = it.milliSlots[n] / Milli;
+        }
+    }
+    m_trees.reported(sender, trees, now);
+    for (const auto &it : status.crashes) {
+        m_crashes.merge(it);
+    }
+}
+
+void StatusExchange::fillTrees(StatusFrame &status) const
+{
+    for (const auto &[service, ranks] : m_trees.demand()) {
+        TreeDemand demand{ service, {} };
+        for (const double it : ranks) {
+            demand.milliSlots.push_back(static_cast<std::uint32_t>(it * Milli));
+        }
+        status.trees.push_back(std::move(demand));
+    }
+}
+
+} // namespace Pimentohollow
--- a/modules/mesh/tests/accountallowancetest.cpp
+++ b/modules/mesh/tests/accountallowancetest.cpp
@@ -19,8 +19,9 @@
 const AccountName Florists("florists");
 constexpr AccountLimit Limit{ 150, 150 };
 constexpr std::size_t Nodes = 16;
-constexpr Duration ReportInterval = 250ms;
 constexpr Duration ReportDelay = 5ms;
+/** Time until a restarted node and the others are connected again. */
+constexpr Duration ConnectTime = 30ms;
 
 /** A demand on a fleet, by node. */
 struct DemandCase {
@@ -30,10 +31,15 @@
     double after;
     /** Part of the demand that enters at the first four nodes in the second half. */
     double skew;
-    /** The first half of the nodes can't hear the second one in the second half. */
-    bool cut;
+    /** So many nodes can't hear the others in the second half. */
+    std::size_t cutNodes;
     /** Least part of what the limit allows that must be admitted. */
     double leastAdmitted;
+    /** Pause between restarts in the second half; zero for none. */
+    Duration restartInterval{};
+    /** Nodes that restart at the same moment, taken in turn. */
+    std::size_t restartedNodes = 1;
+    Duration reportInterval = 250ms;
 };
 
 class AccountAllowanceTest : public ::testing::TestWithParam<DemandCase>
@@ -56,6 +62,7 @@
     const TimePoint start{ 1h };
     std::vector<AccountAllowance> nodes(Nodes, AccountAllowance(start));
     std::array<Duration, Nodes> lastReport{};
+    std::array<TimePoint, Nodes> connectedAt{};
     struct Report {
         TimePoint due{};
         std::size_t from = 0;
@@ -65,7 +72,10 @@
     Random random(11);
     for (auto &it : nodes) {
         it.setNodes(Nodes);
+        it.setReportInterval(demand.reportInterval);
     }
+    std::size_t nextRestart = 0;
+    Duration restartAt = Length / 2 + demand.restartInterval;
     PlayResult result;
     std::deque<TimePoint> window;
     double bucket = Limit.burst;
@@ -76,14 +86,39 @@
             const auto report = std::move(reports.front());
             reports.pop_front();
             for (std::size_t n = 0; n < Nodes; ++n) {
-                const bool cut = demand.cut && second && (n < Nodes / 2) != (report.from < Nodes / 2);
-                if (n != report.from && !cut) {
+                const bool cut = second && (n < demand.cutNodes) != (report.from < demand.cutNodes);
+                if (n != report.from && !cut && now >= connectedAt.at(n)) {
                     nodes.at(n).reported(NodeName(std::to_string(report.from)), report.spending, now);
                 }
             }
         }
+        if (demand.restartInterval > Duration::zero() && elapsed >= restartAt) {
+            restartAt += demand.restartInterval;
+            for (std::size_t n = 0; n < demand.restartedNodes; ++n) {
+                auto &node = nodes.at(nextRestart);
+                node = AccountAllowance(now);
+                node.setNodes(Nodes);
+                node.setReportInterval(demand.reportInterval);
+                connectedAt.at(nextRestart) = now + ConnectTime;
+                nextRestart = (nextRestart + 1) % Nodes;
+            }
+        }
+        for (std::size_t n = 0; n < Nodes; ++n) {
+            if (connectedAt.at(n) != now) {
+                continue;
+            }
+            for (std::size_t other = 0; other < Nodes; ++other) {
+                if (other != n) {
+                    nodes.at(other).reported(NodeName(std::to_string(n)), nodes.at(n).snapshot(now), now);
+                    nodes.at(n).reported(NodeName(std::to_string(other)), nodes.at(other).snapshot(now), now);
+                }
+            }
+        }
         for (std::size_t n = 0; n < Nodes; ++n) {
-            if (elapsed - lastReport.at(n) >= ReportInterval || nodes.at(n).reportIsUrgent()) {
+            if (now < connectedAt.at(n)) {
+                continue;
+            }
+            if (elapsed - lastReport.at(n) >= demand.reportInterval || nodes.at(n).reportIsUrgent()) {
                 lastReport.at(n) = elapsed;
                 reports.push_back({ now + ReportDelay, n, nodes.at(n).takeReport(now) });
             }
@@ -129,14 +164,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Demands,
                          AccountAllowanceTest,
-                         ::testing::Values(DemandCase{ "WithinTheRate", 90, 90, 0, false, 0.999 },
-                                           DemandCase{ "AtTheRate", 140, 140, 0, false, 0.98 },
-                                           DemandCase{ "SevenfoldSuddenly", 95, 700, 0, false, 0.95 },
-                                           DemandCase{ "FromTheStart", 700, 700, 0, false, 0.95 },
-                                           DemandCase{ "Skewed", 90, 90, 0.9, false, 0.999 },
-                                           DemandCase{ "SkewedAndHot", 95, 600, 0.9, false, 0.9 },
-                                           DemandCase{ "Cut", 95, 95, 0, true, 0.95 },
-                                           DemandCase{ "CutAndHot", 95, 600, 0, true, 0.9 }),
+                         ::testing::Values(DemandCase{ "WithinTheRate", 90, 90, 0, 0, 0.999 },
+                                           DemandCase{ "AtTheRate", 140, 140, 0, 0, 0.98 },
+                                           DemandCase{ "SevenfoldSuddenly", 95, 700, 0, 0, 0.95 },
+                                           DemandCase{ "FromTheStart", 700, 700, 0, 0, 0.95 },
+                                           DemandCase{ "Skewed", 90, 90, 0.9, 0, 0.999 },
+                                           DemandCase{ "SkewedAndHot", 95, 600, 0.9, 0, 0.9 },
+                                           DemandCase{ "Cut", 95, 95, 0, 8, 0.95 },
+                                           DemandCase{ "CutAndHot", 95, 600, 0, 8, 0.9 },
+                                           // The surge of a hunted day: a data centre is cut off at the moment in which the demand rises.
+                                           DemandCase{ "CutAndVeryHot", 70, 1100, 0, 8, 0.9 },
+                                           DemandCase{ "ThirdCutAndVeryHot", 70, 1100, 0, 5, 0.9 },
+                                           DemandCase{ "RestartsWithinTheRate", 90, 90, 0, 0, 0.98, 1200ms },
+                                           DemandCase{ "RestartsAndHot", 95, 600, 0, 0, 0.9, 300ms },
+                                           DemandCase{ "RestartsOfManyAndHot", 95, 600, 0, 0, 0.8, 1500ms, 8 },
+                                           DemandCase{ "RestartsOfAllAndHot", 95, 600, 0, 0, 0.8, 2500ms, 16 },
+                                           DemandCase{ "LargeFleetIntervalWithinTheRate", 90, 90, 0, 0, 0.98, 0ms, 1, 1000ms },
+                                           DemandCase{ "LargeFleetIntervalAndHot", 95, 600, 0, 0, 0.9, 0ms, 1, 1000ms }),
                          [](const auto &it) {
                              return std::string(it.param.name);
                          });
--- /dev/null
+++ b/modules/mesh/tests/statusexchangetest.cpp
@@ -0,0 +1,105 @@
+#include "mesh/node/statusexchange.h"
+#include "core/manualclock.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const AccountName Florists("florists");
+const ServiceName Orders("orders");
+constexpr AccountLimit Limit{ 10, 100 };
+
+/** The decisions of one node, and what connects them with other nodes. */
+struct ExchangingNode {
+    explicit ExchangingNode(TimePoint startedAt)
+        : accounts(startedAt)
+        , repeats({}, startedAt)
+        , crashes(clock)
+        , exchange(accounts, repeats, trees, crashes)
+    {
+        exchange.setFleet(1, 250ms);
+        accounts.setLimit(Florists, Limit, startedAt);
+    }
+
+    std::size_t spendAll(TimePoint now)
+    {
+        std::size_t admitted = 0;
+        while (!accounts.admit(Florists, Limit, now)) {
+            ++admitted;
+        }
+        return admitted;
+    }
+
+    std::size_t repeatAll(TimePoint now)
+    {
+        std::size_t granted = 0;
+        while (repeats.tryRepeat(Orders, 0, {}, now)) {
+            ++granted;
+        }
+        return granted;
+    }
+
+    ManualClock clock;
+    AccountAllowance accounts;
+    RepeatBudget repeats;
+    TreeAdmission trees;
+    CrashTracker crashes;
+    StatusExchange exchange;
+};
+
+} // namespace
+
+/** Guards against a restarted node that grants a burst, or repeats, that the fleet has spent before its start. */
+TEST(StatusExchangeTest, RestartedNodeLearnsWhatWasSpent)
+{
+    const TimePoint now{ 1h };
+    ExchangingNode old(now - 1min);
+    EXPECT_GE(old.spendAll(now), static_cast<std::size_t>(Limit.burst));
+    EXPECT_GT(old.repeatAll(now), 5U);
+
+    ExchangingNode restarted(now);
+    StatusFrame first;
+    old.exchange.fillFirst(first, now);
+    restarted.exchange.take(NodeName("old"), first, now);
+    EXPECT_LE(restarted.spendAll(now), 1U);
+    EXPECT_LE(restarted.repeatAll(now), 1U);
+}
+
+/** Guards against counts from before a node's start that are taken for new spending: accounts would be refused for seconds. */
+TEST(StatusExchangeTest, CountsFromBeforeTheStartAreNotChargedAgain)
+{
+    const TimePoint now{ 1h };
+    ExchangingNode old(now - 1min);
+    old.spendAll(now - 30s);
+
+    ExchangingNode restarted(now);
+    StatusFrame first;
+    old.exchange.fillFirst(first, now);
+    restarted.exchange.take(NodeName("old"), first, now);
+    EXPECT_GE(restarted.accounts.available(Florists, Limit, now), Limit.burst * 0.9);
+}
+
+/** Guards against a node that grants a burst which others took before its own first request of the account. */
+TEST(StatusExchangeTest, RegularFrameTellsSpendingSinceTheFirst)
+{
+    const TimePoint now{ 1h };
+    ExchangingNode one(now - 1min);
+    ExchangingNode other(now - 1min);
+    StatusFrame first;
+    one.exchange.fillFirst(first, now);
+    other.exchange.take(NodeName("one"), first, now);
+    one.spendAll(now);
+    StatusFrame regular;
+    one.exchange.fillRegular(regular, now);
+    other.exchange.take(NodeName("one"), regular, now);
+    EXPECT_LT(other.accounts.available(Florists, Limit, now), Limit.burst * 0.1);
+}
+
+} // namespace Pimentohollow
