Watch the directory at a few nodes of each data centre; keep statuses shorter than the silence of a dead link

Cause of most calls to the store on the grown sites: all nodes waited on the directory's feed, so each start of a node cost a call of every other one. A removal that is passed on waits for the end of a live connection, since the node may have come back meanwhile. Found by reading: beyond 160 nodes the status interval was longer than the silence after which links are given up (3.7 s and 2 s at 300 nodes). The interval now ends at 0.9 s.

--- a/modules/mesh/links/meshlink.cpp
+++ b/modules/mesh/links/meshlink.cpp
@@ -14,8 +14,6 @@
 constexpr std::chrono::milliseconds ShortestPause(50);
 /** Bounds the time until a node that has come back is used again. */
 constexpr std::chrono::milliseconds LongestPause(800);
-/** A connection without a byte for this long is given up; the other side sends a status several times in that time. */
-constexpr std::chrono::seconds DeadSilence(2);
 constexpr std::chrono::seconds PingInterval(1);
 const Logger Log("mesh");
 
--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -14,6 +14,9 @@
 class MeshLink : public std::enable_shared_from_this<MeshLink>
 {
 public:
+    /** A connection without a byte for this long is given up; the other side sends a status at least twice in that time. */
+    static constexpr std::chrono::seconds DeadSilence{ 2 };
+
     using ResultHandler = std::function<void(RunReply &&)>;
 
     struct Handlers {
@@ -68,15 +71,15 @@
         m_sentSinceLoad = 0;
     }
 
-    /** The other node can read the rules from the store, by its last status. */
-    bool readsRules() const
+    /** The store answers the other node, by its last status. */
+    bool followsStore() const
     {
-        return m_readsRules;
+        return m_followsStore;
     }
 
-    void setReadsRules(bool reads)
+    void setFollowsStore(bool follows)
     {
-        m_readsRules = reads;
+        m_followsStore = follows;
     }
 
     std::uint32_t sentSinceLoad() const
@@ -118,7 +121,7 @@
     LoadReport m_load;
     TimePoint m_loadAt{};
     std::uint32_t m_sentSinceLoad = 0;
-    bool m_readsRules = false;
+    bool m_followsStore = false;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -219,8 +219,8 @@
  */
 struct StatusFrame {
     std::uint64_t rulesVersion = 0;
-    /** The sender can read the rules from the store. */
-    bool readsRules = false;
+    /** The store answers the sender, so that it can follow the store for others. */
+    bool followsStore = false;
     LoadReport load;
     std::vector<AccountDemand> demand;
     std::vector<TreeDemand> trees;
@@ -230,7 +230,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(rulesVersion, readsRules, load, demand, trees, repeats, crashes);
+        archive(rulesVersion, followsStore, load, demand, trees, repeats, crashes);
     }
 };
 
@@ -251,6 +251,18 @@
     }
 };
 
+/** Changes of the directory, passed on by a node that watches it in the store. */
+struct DirectoryFrame {
+    /** In the order of the store. */
+    std::vector<DirectoryChange> changes;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(changes);
+    }
+};
+
 /** Shows the other side that the connection is alive. */
 struct PingFrame {
     template <typename Archive>
@@ -259,6 +271,7 @@
     }
 };
 
-using MeshFrame = std::variant<HelloFrame, RunFrame, CancelFrame, RunReplyFrame, StatusFrame, RulesRequestFrame, RulesFrame, PingFrame>;
+using MeshFrame =
+    std::variant<HelloFrame, RunFrame, CancelFrame, RunReplyFrame, StatusFrame, RulesRequestFrame, RulesFrame, PingFrame, DirectoryFrame>;
 
 } // namespace Pimentohollow
--- a/modules/mesh/model/fleetstore.h
+++ b/modules/mesh/model/fleetstore.h
@@ -37,6 +37,12 @@
 struct DirectoryRemoval {
     /** The key of the entry: the text of its peer address. */
     std::string key;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(key);
+    }
 };
 
 using DirectoryChange = std::variant<DirectoryEntry, DirectoryRemoval>;
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -13,14 +13,10 @@
 {
 
 constexpr std::chrono::milliseconds TickInterval(50);
-/** Status interval of a small fleet. */
-constexpr std::chrono::milliseconds ShortestStatusInterval(250);
-/** Status frames that a node sends per second, at most: the interval grows with the fleet. */
-constexpr std::size_t StatusFramesPerSecond = 80;
-/** Nodes of the fleet that read the rules from the store, at least; so many that a cut hardly takes all of them. */
-constexpr std::size_t LeastRulesReaders = 6;
+/** Nodes of the fleet that follow the store for the others, at least; so many that a cut hardly takes all of them. */
+constexpr std::size_t LeastStoreFollowers = 6;
 /** Those of one data centre, at least: the second one is there if the first fails. */
-constexpr std::size_t LeastRulesReadersPerDataCentre = 2;
+constexpr std::size_t LeastFollowersPerDataCentre = 2;
 /** Time after the first rules in which links to peers may still be missing without the node being unready. */
 constexpr std::chrono::milliseconds LinkTime(1500);
 /** The node goes on to serve for this long after its stop was asked for: callers take two failed readiness checks to turn away. */
@@ -100,10 +96,10 @@
     , m_rules({ m_loop,
                 m_environment.store,
                 [this] {
-                    return readsRules();
+                    return followsStore();
                 },
                 [this](const TrafficRules &rules) {
-                    passRules(rules);
+                    passOn(RulesFrame{ rules });
                 },
                 [this](const TrafficRules &rules) {
                     m_exchange.setAccounts(rules.accounts, m_loop.now());
@@ -120,6 +116,12 @@
                                     [this] {
                                         return HelloFrame{ ownEntry() };
                                     } },
+                [this] {
+                    return followsStore();
+                },
+                [this](const std::vector<DirectoryChange> &changes) {
+                    passOn(DirectoryFrame{ changes });
+                },
                 [this] {
                     shareBudgets();
                 },
@@ -281,8 +283,7 @@
 
 Duration MeshNode::statusInterval() const
 {
-    const auto scaled = std::chrono::milliseconds(1000 * m_peers.links().size() / StatusFramesPerSecond);
-    return std::max<Duration>(ShortestStatusInterval, scaled);
+    return StatusExchange::intervalFor(m_peers.links().size());
 }
 
 Duration MeshNode::suspectSilence() const
@@ -291,33 +292,34 @@
     return statusInterval() * MissedStatuses;
 }
 
-std::size_t MeshNode::rulesReadersBefore() const
+std::size_t MeshNode::storeFollowersBefore() const
 {
     const auto own = ownEntry();
     const std::string ownKey = own.peerAddress.text();
     const TimePoint now = m_loop.now();
     return static_cast<std::size_t>(std::count_if(m_peers.links().begin(), m_peers.links().end(), [&](const auto &it) {
         const auto &[key, link] = it;
-        return key < ownKey && link->entry().dataCentre == own.dataCentre && link->readsRules() && link->isReachable(now, suspectSilence());
+        return key < ownKey && link->entry().dataCentre == own.dataCentre && link->followsStore()
+            && link->isReachable(now, suspectSilence());
     }));
 }
 
-bool MeshNode::readsRules() const
+bool MeshNode::followsStore() const
 {
     std::set<DataCentreName> dataCentres{ m_environment.settings.dataCentre };
     for (const auto &[key, link] : m_peers.links()) {
         dataCentres.insert(link->entry().dataCentre);
     }
-    const std::size_t readers = std::max(LeastRulesReadersPerDataCentre, (LeastRulesReaders + dataCentres.size() - 1) / dataCentres.size());
-    return rulesReadersBefore() < readers;
+    const std::size_t followers =
+        std::max(LeastFollowersPerDataCentre, (LeastStoreFollowers + dataCentres.size() - 1) / dataCentres.size());
+    return storeFollowersBefore() < followers;
 }
 
-void MeshNode::passRules(const TrafficRules &rules)
+void MeshNode::passOn(const MeshFrame &frame)
 {
-    if (rulesReadersBefore() > 0) {
+    if (storeFollowersBefore() > 0) {
         return;
     }
-    const MeshFrame frame = RulesFrame{ rules };
     for (const auto &[key, link] : m_peers.links()) {
         if (link->entry().dataCentre == m_environment.settings.dataCentre) {
             link->send(frame);
@@ -375,6 +377,10 @@
         m_peers.add(hello->sender, false);
     } else if (const auto *rules = std::get_if<RulesFrame>(&frame)) {
         m_rules.apply(rules->rules, "passed_on");
+    } else if (const auto *directory = std::get_if<DirectoryFrame>(&frame)) {
+        for (const auto &it : directory->changes) {
+            m_peers.applyPassed(it);
+        }
     } else if (std::holds_alternative<RulesRequestFrame>(frame) && m_rules.rules()) {
         connection->send(RulesFrame{ m_rules.rules()->rules() });
     }
@@ -413,7 +419,7 @@
 {
     const TimePoint now = m_loop.now();
     link.setLoad(status.load);
-    link.setReadsRules(status.readsRules);
+    link.setFollowsStore(status.followsStore);
     m_exchange.take(link.entry().node, status, now);
     if (m_rules.shouldAsk(status.rulesVersion, link.entry().dataCentre == m_environment.settings.dataCentre)) {
         link.send(RulesRequestFrame{});
@@ -424,7 +430,7 @@
 {
     StatusFrame status;
     status.rulesVersion = rulesVersion();
-    status.readsRules = m_rules.storeAnswers() && !m_closing;
+    status.followsStore = m_rules.storeAnswers() && !m_closing;
     status.load = m_runner.load();
     return status;
 }
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -48,6 +48,12 @@
     /** Nodes that answer now. */
     std::size_t reachablePeers() const;
 
+    /** Nodes of the directory, this one included. */
+    std::size_t knownNodes() const
+    {
+        return m_peers.nodes();
+    }
+
     /** Rules are known, the way to other nodes is open, and the node isn't ending. */
     bool isReady() const;
 
@@ -83,10 +89,11 @@
     Duration suspectSilence() const;
 
     void registerGauges();
-    /** Nodes of the own data centre that come before this one in the duty to read the rules from the store. */
-    std::size_t rulesReadersBefore() const;
-    bool readsRules() const;
-    void passRules(const TrafficRules &rules);
+    /** Nodes of the own data centre that come before this one in the duty to follow the store for the others. */
+    std::size_t storeFollowersBefore() const;
+    bool followsStore() const;
+    /** Sends the frame to the nodes of the own data centre, if this node is the first of those that follow the store. */
+    void passOn(const MeshFrame &frame);
     /** Divides what the fleet may spend by the number of its nodes. */
     void shareBudgets();
 
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -15,6 +15,10 @@
 
 /** Changes of the directory are collected for this long, so that a fleet that starts doesn't wake every node for every other one. */
 constexpr std::chrono::milliseconds DirectoryPause(300);
+/** Each node watches the directory itself for this long after its start: nodes that start together must find each other. */
+constexpr std::chrono::seconds FindTime(3);
+/** How often a node that doesn't watch the directory looks whether it should. */
+constexpr std::chrono::milliseconds DutyCheckInterval(200);
 /** Entries of nodes that could not be reached for this long are removed from the store. */
 constexpr std::chrono::seconds DeadPeerTime(60);
 constexpr std::chrono::milliseconds WrittenCheckInterval(5);
@@ -66,9 +70,15 @@
 
 void PeerDirectory::follow()
 {
+    auto &loop = m_environment.loop;
+    const TimePoint foundBy = loop.now() + FindTime;
     Backoff backoff = storeBackoff();
     std::uint64_t position = 0;
     while (!m_left) {
+        if (m_published && m_read && loop.now() >= foundBy && !m_environment.watches()) {
+            loop.sleepFor(DutyCheckInterval);
+            continue;
+        }
         const auto followed = followOnce(position);
         if (followed) {
             backoff.reset();
@@ -100,6 +110,9 @@
     for (const auto &it : changes->changes) {
         apply(it);
     }
+    if (!changes->changes.empty()) {
+        m_environment.pass(changes->changes);
+    }
     m_environment.loop.sleepFor(DirectoryPause);
     return {};
 }
@@ -180,6 +193,18 @@
     }
 }
 
+void PeerDirectory::applyPassed(const DirectoryChange &change)
+{
+    const auto *removal = std::get_if<DirectoryRemoval>(&change);
+    const auto found = removal == nullptr ? m_links.end() : m_links.find(removal->key);
+    if (found != m_links.end() && !found->second->downSince()) {
+        // Passed changes may be late: the node may have come back since. A live connection decides.
+        m_ending.insert(removal->key);
+        return;
+    }
+    apply(change);
+}
+
 void PeerDirectory::applyOwn(const DirectoryEntry &entry)
 {
     const auto own = m_environment.ownEntry();
@@ -207,6 +232,7 @@
     if (key == keyOf(m_environment.ownEntry())) {
         return;
     }
+    m_ending.erase(key);
     const auto found = m_links.find(key);
     if (found != m_links.end()) {
         if (!(found->second->entry() == entry) && (fromStore || entry.incarnation > found->second->entry().incarnation)) {
@@ -244,9 +270,21 @@
     for (const auto &[key, link] : std::map(m_links)) {
         link->checkLiveness(now);
     }
+    removeEnded();
     removeDead(now);
 }
 
+void PeerDirectory::removeEnded()
+{
+    for (const auto &key : std::set(m_ending)) {
+        const auto found = m_links.find(key);
+        if (found == m_links.end() || found->second->downSince()) {
+            m_ending.erase(key);
+            remove(key);
+        }
+    }
+}
+
 void PeerDirectory::removeDead(TimePoint now)
 {
     for (const auto &[key, link] : m_links) {
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -6,14 +6,17 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Pimentohollow
 {
 
 /**
- * Which nodes there are, and the links to them. Follows the directory in the store, keeps this node's own entry there, and also takes nodes
- * that make themselves known by connecting, so that the fleet finds together while the store is away.
+ * Which nodes there are, and the links to them. Reads the directory in the store at the start and keeps this node's own entry there. Later
+ * a few nodes of each data centre watch the directory and pass changes on to the others there: if all nodes did, each start of a node would
+ * cost a call of every other one. Also takes nodes that make themselves known by connecting, so that the fleet finds together while the
+ * store is away.
  */
 class PeerDirectory
 {
@@ -24,6 +27,10 @@
         /** This node's entry as it should be in the store. */
         std::function<DirectoryEntry()> ownEntry;
         MeshLink::Handlers linkHandlers;
+        /** This node is one of those that follow the store for others now. */
+        std::function<bool()> watches;
+        /** Changes have come from the store and are to be passed on. */
+        std::function<void(const std::vector<DirectoryChange> &)> pass;
         /** The number of known nodes has changed. */
         std::function<void()> changed;
         /** An earlier process of this node wrote that this upstream has left. */
@@ -43,6 +50,8 @@
     /** Closes all links. */
     void stop();
 
+    /** Takes a change that another node saw in the store. */
+    void applyPassed(const DirectoryChange &change);
     /** @param fromStore false if the node made itself known */
     void add(const DirectoryEntry &entry, bool fromStore);
 
@@ -79,11 +88,14 @@
     void apply(const DirectoryChange &change);
     void applyOwn(const DirectoryEntry &entry);
     void remove(const std::string &key);
+    void removeEnded();
     void removeDead(TimePoint now);
     void withdraw(const DirectoryEntry &entry, std::string_view event);
 
     Environment m_environment;
     std::map<std::string, std::shared_ptr<MeshLink>> m_links;
+    /** Removed from the store, as another node said, but still connected. */
+    std::set<std::string> m_ending;
     bool m_read = false;
     bool m_left = false;
     /** The own entry is being written. */
--- a/modules/mesh/node/statusexchange.cpp
+++ b/modules/mesh/node/statusexchange.cpp
@@ -11,6 +11,12 @@
 namespace
 {
 
+/** Interval of a small fleet. */
+constexpr std::chrono::milliseconds ShortestInterval(250);
+/** Frames that a node sends per second in a medium fleet: the interval grows with the fleet, so that the cost of a node doesn't. */
+constexpr std::size_t FramesPerSecond = 80;
+/** Less than half of the silence after which MeshLink gives a connection up, so that one late frame doesn't cost it. */
+constexpr std::chrono::milliseconds LongestInterval(900);
 /** Rates and tokens travel in tenths, slots in thousandths. */
 constexpr double Tenths = 10;
 constexpr double Milli = 1000;
@@ -56,6 +62,12 @@
 {
 }
 
+Duration StatusExchange::intervalFor(std::size_t peers)
+{
+    const auto scaled = std::chrono::milliseconds(1000 * peers / FramesPerSecond);
+    return std::clamp<Duration>(scaled, ShortestInterval, LongestInterval);
+}
+
 void StatusExchange::setFleet(std::size_t nodes, Duration interval)
 {
     m_accounts.setNodes(nodes);
--- a/modules/mesh/node/statusexchange.h
+++ b/modules/mesh/node/statusexchange.h
@@ -14,6 +14,9 @@
 public:
     StatusExchange(AccountAllowance &accounts, RepeatBudget &repeats, TreeAdmission &trees, CrashTracker &crashes);
 
+    /** Time between the status frames of a node that has so many peers. */
+    static Duration intervalFor(std::size_t peers);
+
     /** @param nodes known to the directory, this one included @param interval between the status frames of a node */
     void setFleet(std::size_t nodes, Duration interval);
 
--- a/modules/mesh/tests/statusexchangetest.cpp
+++ b/modules/mesh/tests/statusexchangetest.cpp
@@ -1,5 +1,6 @@
 #include "mesh/node/statusexchange.h"
 #include "core/manualclock.h"
+#include "mesh/links/meshlink.h"
 
 #include <gtest/gtest.h>
 #include <string>
@@ -102,4 +103,31 @@
     EXPECT_LT(other.accounts.available(Florists, Limit, now), Limit.burst * 0.1);
 }
 
+struct FleetCase {
+    const char *name;
+    std::size_t peers;
+};
+
+class StatusIntervalTest : public ::testing::TestWithParam<FleetCase>
+{
+};
+
+/** Guards against fleets so large that nodes take each other for dead between two statuses, and dial again all the time. */
+TEST_P(StatusIntervalTest, ConnectionsSurviveOneLateStatus)
+{
+    EXPECT_LT(StatusExchange::intervalFor(GetParam().peers) * 2, MeshLink::DeadSilence);
+    EXPECT_GE(StatusExchange::intervalFor(GetParam().peers), 250ms);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets,
+                         StatusIntervalTest,
+                         ::testing::Values(FleetCase{ "Single", 0 },
+                                           FleetCase{ "Small", 15 },
+                                           FleetCase{ "Grown", 85 },
+                                           FleetCase{ "Large", 299 },
+                                           FleetCase{ "VeryLarge", 999 }),
+                         [](const auto &it) {
+                             return std::string(it.param.name);
+                         });
+
 } // namespace Pimentohollow
