Send the names of accounts and services once a connection

A status now carries numbers; the first one of a connection has all names, later ones those that are new. Names of a restarted sender replace the earlier ones. NamesAreTakenFromTheProcessThatSends.

--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -167,7 +167,8 @@
 
 /** Demand of one client account at one node. */
 struct AccountDemand {
-    AccountName account;
+    /** Number of the account's name in the sender's list of names, as in the other parts of a status. */
+    std::uint32_t account = 0;
     /** Requests per second in tenths, admitted or not. */
     std::uint32_t deciRate = 0;
     /** Requests admitted since the node started. */
@@ -184,7 +185,7 @@
 
 /** Slots of a service that the requests at one entry node would keep busy, by rank, in thousandths. */
 struct TreeDemand {
-    ServiceName service;
+    std::uint32_t service = 0;
     std::vector<std::uint32_t> milliSlots;
 
     template <typename Archive>
@@ -196,7 +197,7 @@
 
 /** Requests and repeats that one node made for a service. */
 struct RepeatReport {
-    ServiceName service;
+    std::uint32_t service = 0;
     /** First requests and repeats per second, in tenths. */
     std::uint32_t deciRequests = 0;
     /** Repeats per second that were asked for, in tenths. */
@@ -215,9 +216,14 @@
 
 /**
  * What a node tells those that connected to it, several times a second. The first one of a connection holds all accounts and services,
- * with the state of their buckets; the others only those with demand.
+ * with the state of their buckets; the others only those with demand. Names are sent once a connection: repeated in each status, they were
+ * most of the bytes between the data centres of a large fleet.
  */
 struct StatusFrame {
+    /** Names of accounts and services that the sender numbers from now on. */
+    std::vector<std::string> names;
+    /** Number of the first of them; the others follow. */
+    std::uint32_t firstName = 0;
     std::uint64_t rulesVersion = 0;
     /** The store answers the sender, so that it can follow the store for others. */
     bool followsStore = false;
@@ -230,7 +236,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(rulesVersion, followsStore, load, demand, trees, repeats, crashes);
+        archive(names, firstName, rulesVersion, followsStore, load, demand, trees, repeats, crashes);
     }
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -330,6 +330,11 @@
 void MeshNode::shareBudgets()
 {
     m_exchange.setFleet(m_peers.nodes(), statusInterval());
+    std::set<NodeName> peers;
+    for (const auto &[key, link] : m_peers.links()) {
+        peers.insert(link->entry().node);
+    }
+    m_exchange.keepNamesOf(peers);
 }
 
 void MeshNode::acceptPeer(std::unique_ptr<AsyncSocket> socket)
--- /dev/null
+++ b/modules/mesh/node/namelist.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+/** Numbers names in the order in which they are first used, so that status frames carry numbers. A number is never given again. */
+class NameList
+{
+public:
+    /** The number of @p name, which is added if it is new. */
+    std::uint32_t number(const std::string &name);
+
+    /** All names, by number. */
+    const std::vector<std::string> &names() const
+    {
+        return m_names;
+    }
+
+    /** Names that were added since the last call, the first of them with the number @p first. */
+    std::vector<std::string> takeNew(std::uint32_t &first);
+
+private:
+    std::unordered_map<std::string, std::uint32_t> m_numbers;
+    std::vector<std::string> m_names;
+    std::uint32_t m_taken = 0;
+};
+
+} // namespace Pimentohollow
--- a/modules/mesh/node/statusexchange.cpp
+++ b/modules/mesh/node/statusexchange.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t FramesPerSecond = 80;
 /** Less than half of the silence after which MeshLink gives a connection up, so that one late frame doesn't cost it. */
 constexpr std::chrono::milliseconds LongestInterval(900);
+/** Names that are kept of another node: far more accounts and services than a fleet has. */
+constexpr std::size_t MostNames = 100'000;
 /** Rates and tokens travel in tenths, slots in thousandths. */
 constexpr double Tenths = 10;
 constexpr double Milli = 1000;
@@ -40,16 +42,10 @@
     return (deciMissing - 1) / Tenths;
 }
 
-void fill(StatusFrame &status, const std::vector<AccountSpending> &spending, const std::vector<ServiceRepeats> &repeats)
+/** The name with this number, or nullptr. */
+const std::string *nameOf(const std::vector<std::string> &names, std::uint32_t number)
 {
-    status.demand.reserve(spending.size());
-    for (const auto &it : spending) {
-        status.demand.push_back({ it.account, encodeTenths(it.demand), it.admitted, encodeMissing(it.missing) });
-    }
-    status.repeats.reserve(repeats.size());
-    for (const auto &it : repeats) {
-        status.repeats.push_back({ it.service, encodeTenths(it.requests), encodeTenths(it.demand), it.repeats, encodeMissing(it.missing) });
-    }
+    return number < names.size() && !names[number].empty() ? &names[number] : nullptr;
 }
 
 } // namespace
@@ -88,12 +84,30 @@
     fill(status, m_accounts.takeReport(now), m_repeats.takeReport(now));
     fillTrees(status);
     status.crashes = m_crashes.takeReports();
+    status.names = m_names.takeNew(status.firstName);
 }
 
-void StatusExchange::fillFirst(StatusFrame &status, TimePoint now) const
+void StatusExchange::fillFirst(StatusFrame &status, TimePoint now)
 {
     fill(status, m_accounts.snapshot(now), m_repeats.snapshot(now));
     fillTrees(status);
+    status.names = m_names.names();
+}
+
+void StatusExchange::fill(StatusFrame &status, const std::vector<AccountSpending> &spending, const std::vector<ServiceRepeats> &repeats)
+{
+    status.demand.reserve(spending.size());
+    for (const auto &it : spending) {
+        status.demand.push_back({ m_names.number(it.account.text()), encodeTenths(it.demand), it.admitted, encodeMissing(it.missing) });
+    }
+    status.repeats.reserve(repeats.size());
+    for (const auto &it : repeats) {
+        status.repeats.push_back({ m_names.number(it.service.text()),
+                                   encodeTenths(it.requests),
+                                   encodeTenths(it.demand),
+                                   it.repeats,
+                                   encodeMissing(it.missing) });
+    }
 }
 
 bool StatusExchange::isUrgent() const
@@ -103,21 +117,38 @@
 
 void StatusExchange::take(const NodeName &sender, const StatusFrame &status, TimePoint now)
 {
+    auto &names = m_peerNames[sender];
+    const std::size_t end = std::min<std::size_t>(std::size_t(status.firstName) + status.names.size(), MostNames);
+    if (names.size() < end) {
+        names.resize(end);
+    }
+    for (std::size_t n = status.firstName; n < end; ++n) {
+        names[n] = status.names[n - status.firstName];
+    }
     std::vector<AccountSpending> spending;
     spending.reserve(status.demand.size());
     for (const auto &it : status.demand) {
-        spending.push_back({ it.account, it.deciRate / Tenths, it.admitted, decodeMissing(it.deciMissing) });
+        if (const auto *name = nameOf(names, it.account)) {
+            spending.push_back({ AccountName(*name), it.deciRate / Tenths, it.admitted, decodeMissing(it.deciMissing) });
+        }
     }
     m_accounts.reported(sender, spending, now);
     std::vector<ServiceRepeats> repeats;
     repeats.reserve(status.repeats.size());
     for (const auto &it : status.repeats) {
-        repeats.push_back({ it.service, it.deciRequests / Tenths, it.deciDemand / Tenths, it.repeats, decodeMissing(it.deciMissing) });
+        if (const auto *name = nameOf(names, it.service)) {
+            repeats.push_back(
+                { ServiceName(*name), it.deciRequests / Tenths, it.deciDemand / Tenths, it.repeats, decodeMissing(it.deciMissing) });
+        }
     }
     m_repeats.reported(sender, repeats, now);
     std::map<ServiceName, RankDemand> trees;
     for (const auto &it : status.trees) {
-        auto &ranks = trees[it.service];
+        const auto *name = nameOf(names, it.service);
+        if (name == nullptr) {
+            continue;
+        }
+        auto &ranks = trees[ServiceName(*name)];
         for (std::size_t n = 0; n < std::min(AdmissionRanks, it.milliSlots.size()); ++n) {
             ranks.at(n) = it.milliSlots[n] / Milli;
         }
@@ -128,10 +159,17 @@
     }
 }
 
-void StatusExchange::fillTrees(StatusFrame &status) const
+void StatusExchange::keepNamesOf(const std::set<NodeName> &nodes)
+{
+    std::erase_if(m_peerNames, [&nodes](const auto &it) {
+        return !nodes.contains(it.first);
+    });
+}
+
+void StatusExchange::fillTrees(StatusFrame &status)
 {
     for (const auto &[service, ranks] : m_trees.demand()) {
-        TreeDemand demand{ service, {} };
+        TreeDemand demand{ m_names.number(service.text()), {} };
         for (const double it : ranks) {
             demand.milliSlots.push_back(static_cast<std::uint32_t>(it * Milli));
         }
--- a/modules/mesh/tests/statusexchangetest.cpp
+++ b/modules/mesh/tests/statusexchangetest.cpp
@@ -103,6 +103,44 @@
     EXPECT_LT(other.accounts.available(Florists, Limit, now), Limit.burst * 0.1);
 }
 
+/** Guards against numbers that a node can't resolve, or resolves to the names of an earlier process of the sender. */
+TEST(StatusExchangeTest, NamesAreTakenFromTheProcessThatSends)
+{
+    const TimePoint now{ 1h };
+    const NodeName sender("sender");
+    const AccountName others("others");
+    ExchangingNode receiver(now - 1min);
+    receiver.accounts.setLimit(others, Limit, now);
+    ExchangingNode earlier(now - 1min);
+    earlier.spendAll(now);
+    StatusFrame frame;
+    earlier.exchange.fillRegular(frame, now);
+    EXPECT_EQ(frame.names.size(), 1U);
+    receiver.exchange.take(sender, frame, now);
+    StatusFrame second;
+    earlier.exchange.fillRegular(second, now);
+    EXPECT_TRUE(second.names.empty());
+    EXPECT_EQ(second.demand.size(), 1U);
+
+    // The sender starts anew, and numbers its names in another order.
+    ExchangingNode later(now);
+    later.accounts.setLimit(others, Limit, now);
+    while (!later.accounts.admit(others, Limit, now)) {
+    }
+    StatusFrame regular;
+    later.exchange.fillRegular(regular, now);
+    ASSERT_EQ(regular.demand.size(), 1U);
+    StatusFrame first;
+    later.exchange.fillFirst(first, now);
+    const double before = receiver.accounts.available(others, Limit, now);
+    receiver.exchange.take(sender, first, now);
+    EXPECT_LT(receiver.accounts.available(others, Limit, now), before);
+
+    StatusFrame unknown;
+    unknown.demand.push_back({ 77, 1000, 50, 0 });
+    receiver.exchange.take(sender, unknown, now);
+}
+
 struct FleetCase {
     const char *name;
     std::size_t peers;
