--- a/modules/async/loop/eventloop.cpp
+++ b/modules/async/loop/eventloop.cpp
@@ -46,6 +46,11 @@
 
 EventLoop::~EventLoop()
 {
+    // Callbacks may hold the last reference to a socket, which takes itself out of the registrations.
+    while (!m_posted.empty() || !m_timers.empty()) {
+        std::exchange(m_posted, {});
+        std::exchange(m_timers, {});
+    }
     ::close(m_epoll);
 }
 
--- a/modules/mesh/model/meshsettings.h
+++ b/modules/mesh/model/meshsettings.h
@@ -4,6 +4,7 @@
 #include "core/ipendpoint.h"
 #include "core/names.h"
 
+#include <optional>
 #include <string>
 
 namespace Pimentohollow
@@ -19,6 +20,8 @@
     IpEndpoint callerListener;
     /** Where other nodes connect to. */
     IpEndpoint peerListener;
+    /** The address at which they reach peerListener, if something forwards it; it is the one in the directory. */
+    std::optional<IpEndpoint> advertisedPeerAddress;
     IpEndpoint upstream;
 
     /** How often the upstream announces itself. */
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -245,7 +245,8 @@
 DirectoryEntry MeshNode::ownEntry() const
 {
     const auto &settings = m_environment.settings;
-    return { settings.node, settings.dataCentre, settings.service, settings.peerListener, m_incarnation, m_runner.departed() };
+    return { settings.node, settings.dataCentre, settings.service, settings.advertisedPeerAddress.value_or(settings.peerListener),
+             m_incarnation, m_runner.departed() };
 }
 
 std::vector<UpstreamWay> MeshNode::ways(const ServiceName &service) const
--- a/testing/soak/loopbackproxy.cpp
+++ b/testing/soak/loopbackproxy.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration ConnectTime = 1s;
 constexpr Duration WriteTime = 30s;
+constexpr Duration HoldCheckInterval = 10ms;
 constexpr std::size_t ReadBytes = std::size_t{ 16 } * 1024;
 
 } // namespace
@@ -24,6 +25,9 @@
         auto pair = std::make_shared<Pair>();
         pair->caller = std::move(socket);
         m_loop.spawn([this, pair] {
+            while (faults.holdsRequests) {
+                m_loop.sleepFor(HoldCheckInterval);
+            }
             auto connected = AsyncSocket::connect(m_loop, m_target, m_loop.clock().now() + ConnectTime);
             if (!connected) {
                 pair->caller->reset();
@@ -72,6 +76,9 @@
         if (faults.delay > Duration::zero()) {
             m_loop.sleepFor(faults.delay);
         }
+        while (requests ? faults.holdsRequests : faults.holdsAnswers) {
+            m_loop.sleepFor(HoldCheckInterval);
+        }
         const bool dropped = requests ? faults.dropsRequests : faults.dropsAnswers;
         if (!dropped && !to.writeAll({ bytes.data(), *count }, m_loop.clock().now() + WriteTime)) {
             break;
--- a/testing/soak/loopbackproxy.h
+++ b/testing/soak/loopbackproxy.h
@@ -16,6 +16,10 @@
     bool dropsRequests = false;
     /** Bytes from the other side don't arrive. */
     bool dropsAnswers = false;
+    /** Bytes from the side that connected are held back until this ends, as in a network that is cut; new connections, too. */
+    bool holdsRequests = false;
+    /** The same for bytes from the other side. */
+    bool holdsAnswers = false;
 };
 
 /** Relays connections of the loopback interface, with faults. */
--- a/testing/soak/soakplan.cpp
+++ b/testing/soak/soakplan.cpp
@@ -19,23 +19,45 @@
 /** The last part of a run has no new faults, so that the fleet must serve again at the end. */
 constexpr Duration CalmEnd = 1500ms;
 
-} // namespace
+/** Faults of the links between nodes are a series of their own, so that older seeds still play what they played. */
+constexpr auto FirstPeerFault = static_cast<std::size_t>(FaultKind::PeersReset);
+constexpr std::uint64_t PeerSeries = 0x9e3779b97f4a7c15;
+constexpr Duration MeanPeerGap = 1200ms;
 
-std::vector<PlannedFault> planFaults(std::uint64_t seed, Duration length, std::size_t nodes)
+/** @param first and @param last kinds that the series takes, in the order of FaultKindNames */
+void addSeries(std::vector<PlannedFault> &plan,
+               Random &random,
+               Duration meanGap,
+               std::size_t first,
+               std::size_t last,
+               Duration length,
+               std::size_t nodes)
 {
-    Random random(seed);
-    std::vector<PlannedFault> result;
     Duration at = 500ms;
     while (at < length - CalmEnd) {
         PlannedFault fault;
-        fault.kind = FaultKindNames.entries().at(random.below(FaultKindNames.entries().size())).value;
+        fault.kind = FaultKindNames.entries().at(first + random.below(last - first)).value;
         fault.at = at;
         const auto span = std::chrono::duration_cast<Duration>((LongestFault - ShortestFault) * random.unit());
         fault.length = std::min<Duration>(ShortestFault + span, length - CalmEnd / 2 - at);
         fault.target = random.below(nodes);
-        result.push_back(fault);
-        at += std::chrono::duration_cast<Duration>(MeanGap * 2 * random.unit());
+        plan.push_back(fault);
+        at += std::chrono::duration_cast<Duration>(meanGap * 2 * random.unit());
     }
+}
+
+} // namespace
+
+std::vector<PlannedFault> planFaults(std::uint64_t seed, Duration length, std::size_t nodes)
+{
+    std::vector<PlannedFault> result;
+    Random random(seed);
+    addSeries(result, random, MeanGap, 0, FirstPeerFault, length, nodes);
+    Random peers(seed ^ PeerSeries);
+    addSeries(result, peers, MeanPeerGap, FirstPeerFault, FaultKindNames.entries().size(), length, nodes);
+    std::stable_sort(result.begin(), result.end(), [](const auto &left, const auto &right) {
+        return left.at < right.at;
+    });
     return result;
 }
 
--- a/testing/soak/soakplan.h
+++ b/testing/soak/soakplan.h
@@ -27,6 +27,10 @@
     UpstreamAnswersLost,
     UpstreamLeaves, ///< announces its end for good; another one takes its place
     NewRules,
+    PeersReset, ///< the connections that other nodes made to a node
+    PeersDelayed,
+    PeersCut, ///< those connections stall in both directions
+    PeersCutOneWay, ///< what the node says doesn't arrive
 };
 
 inline constexpr auto FaultKindNames = makeEnumTable<FaultKind>({
@@ -47,6 +51,10 @@
     { FaultKind::UpstreamAnswersLost, "upstream_answers_lost" },
     { FaultKind::UpstreamLeaves, "upstream_leaves" },
     { FaultKind::NewRules, "new_rules" },
+    { FaultKind::PeersReset, "peers_reset" },
+    { FaultKind::PeersDelayed, "peers_delayed" },
+    { FaultKind::PeersCut, "peers_cut" },
+    { FaultKind::PeersCutOneWay, "peers_cut_one_way" },
 });
 
 struct PlannedFault {
--- a/testing/soak/soakrun.cpp
+++ b/testing/soak/soakrun.cpp
@@ -79,7 +79,10 @@
             auto &machine = m_machines[n];
             machine.proxy = std::make_unique<LoopbackProxy>(m_loop, machine.upstreamPort.endpoint());
             startUpstream(n);
-            if (!listening || !machine.proxy->listen(machine.proxyPort.endpoint())) {
+            machine.peerProxy = std::make_unique<LoopbackProxy>(m_loop, machine.peers.endpoint());
+            const bool relaying =
+                machine.proxy->listen(machine.proxyPort.endpoint()) && machine.peerProxy->listen(machine.peerProxyPort.endpoint());
+            if (!listening || !relaying) {
                 m_records.badEnds.push_back("a stand-in can't listen");
             }
             writeSettings(n, "6s");
@@ -129,20 +132,22 @@
     const auto &it = m_machines[number];
     const std::string file = fmt::format("{}/node-{}.yaml", m_settings.folder, number);
     // Replaced at once, as a node may read it at any time.
-    std::ofstream(file + ".new") << fmt::format("node: node-{0}\ndata_centre: zone-{1}\nservice: orders\nupstream: {2}\nstore: {3}\n"
-                                                "announce_interval: {4}ms\nlisteners:\n  callers: {5}\n  peers: {6}\n  announcements: {7}\n"
-                                                "  readiness: {8}\n  metrics: {9}\nbounds: [\"grace={10}\"]\n",
-                                                number,
-                                                number % 2,
-                                                it.proxyPort.endpoint().text(),
-                                                m_storePort.endpoint().text(),
-                                                std::chrono::duration_cast<std::chrono::milliseconds>(AnnounceInterval).count(),
-                                                it.callers.endpoint().text(),
-                                                it.peers.endpoint().text(),
-                                                it.announcements.endpoint().text(),
-                                                it.readiness.endpoint().text(),
-                                                it.metrics.endpoint().text(),
-                                                grace);
+    std::ofstream(file + ".new") << fmt::format(
+        "node: node-{0}\ndata_centre: zone-{1}\nservice: orders\nupstream: {2}\nstore: {3}\n"
+        "announce_interval: {4}ms\nlisteners:\n  callers: {5}\n  peers: {6}\n  peers_advertised: {11}\n  announcements: {7}\n"
+        "  readiness: {8}\n  metrics: {9}\nbounds: [\"grace={10}\"]\n",
+        number,
+        number % 2,
+        it.proxyPort.endpoint().text(),
+        m_storePort.endpoint().text(),
+        std::chrono::duration_cast<std::chrono::milliseconds>(AnnounceInterval).count(),
+        it.callers.endpoint().text(),
+        it.peers.endpoint().text(),
+        it.announcements.endpoint().text(),
+        it.readiness.endpoint().text(),
+        it.metrics.endpoint().text(),
+        grace,
+        it.peerProxyPort.endpoint().text());
     std::rename((file + ".new").c_str(), file.c_str());
 }
 
@@ -152,6 +157,7 @@
     machine.node = std::make_unique<NodeProcess>(fmt::format("{}/node-{}.yaml", m_settings.folder, number),
                                                  fmt::format("{}/node-{}.log", m_settings.folder, number));
     machine.stopping = false;
+    machine.answered = false;
 }
 
 void SoakRun::startUpstream(std::size_t number)
@@ -215,6 +221,7 @@
     request.method = "GET";
     request.target = "/";
     const auto answer = client.exchange(request, m_loop.clock().now() + CallTime);
+    m_machines[number].answered = m_machines[number].answered || answer.has_value();
     return answer && answer->status == Success;
 }
 
@@ -258,6 +265,12 @@
     case FaultKind::StoreReset:
         playStoreFault(fault);
         return;
+    case FaultKind::PeersReset:
+    case FaultKind::PeersDelayed:
+    case FaultKind::PeersCut:
+    case FaultKind::PeersCutOneWay:
+        playPeerFault(fault);
+        return;
     case FaultKind::UpstreamLeaves:
         replaceUpstream(fault.target, fault.length);
         return;
@@ -292,12 +305,16 @@
     } else {
         machine.stopping = true;
         const TimePoint end = m_loop.clock().now() + Grace;
+        const bool answered = machine.answered;
         machine.node->signal(fault.kind == FaultKind::NodeKilled ? SIGKILL : SIGTERM);
         while (!machine.node->ended() && m_loop.clock().now() < end) {
             m_loop.sleepFor(CheckPause);
         }
-        if (fault.kind == FaultKind::NodeStopped && (!machine.node->ended() || machine.node->status() != 0)) {
-            m_records.badEnds.push_back(fmt::format("node {} didn't end in time after SIGTERM", fault.target));
+        // A process that hasn't set its handlers yet dies of the signal, and has nothing to lose.
+        const bool tooEarly = !answered && machine.node->status() == -SIGTERM;
+        if (fault.kind == FaultKind::NodeStopped && !tooEarly && (!machine.node->ended() || machine.node->status() != 0)) {
+            const std::string how = machine.node->ended() ? fmt::format("ended with {}", machine.node->status()) : "didn't end in time";
+            m_records.badEnds.push_back(fmt::format("node {} {} after SIGTERM", fault.target, how));
         }
         m_loop.sleepFor(fault.length / 4);
         startNode(fault.target);
@@ -331,6 +348,25 @@
     m_records.storeDisturbed[span].to = m_loop.clock().now();
 }
 
+void SoakRun::playPeerFault(const PlannedFault &fault)
+{
+    auto &machine = m_machines[fault.target];
+    auto &connection = machine.peerProxy->faults;
+    if (fault.kind == FaultKind::PeersReset) {
+        machine.peerProxy->resetAll();
+        return;
+    }
+    if (fault.kind == FaultKind::PeersDelayed) {
+        connection.delay = SlowConnection;
+    } else {
+        connection.holdsRequests = connection.holdsRequests || fault.kind == FaultKind::PeersCut;
+        connection.holdsAnswers = true;
+    }
+    m_loop.sleepFor(fault.length);
+    // Faults of one node may overlap: the first end ends them all.
+    connection = {};
+}
+
 void SoakRun::playUpstreamFault(const PlannedFault &fault)
 {
     auto &machine = m_machines[fault.target];
--- a/testing/soak/soakrun.h
+++ b/testing/soak/soakrun.h
@@ -47,7 +47,10 @@
         Testing::ReservedPort metrics;
         Testing::ReservedPort upstreamPort;
         Testing::ReservedPort proxyPort;
+        Testing::ReservedPort peerProxyPort;
         std::unique_ptr<LoopbackProxy> proxy;
+        /** Between the other nodes and this one. */
+        std::unique_ptr<LoopbackProxy> peerProxy;
         std::unique_ptr<NodeProcess> node;
         std::unique_ptr<Testing::ScriptedUpstream> upstream;
         std::string upstreamId;
@@ -57,6 +60,8 @@
         bool left = false;
         /** The end of the process was asked for. */
         bool stopping = false;
+        /** The process has answered since its start. */
+        bool answered = false;
         bool paused = false;
         Testing::UpstreamScript script;
         /** Probability that the script applies; other requests are answered. */
@@ -74,6 +79,7 @@
     void playFault(const PlannedFault &fault);
     void playNodeFault(const PlannedFault &fault);
     void playStoreFault(const PlannedFault &fault);
+    void playPeerFault(const PlannedFault &fault);
     void playUpstreamFault(const PlannedFault &fault);
     void replaceUpstream(std::size_t number, Duration length);
     void sendRequests(std::size_t client);
