End requests whose callers left without a repeat, and log them as such

Now it ends at once, with the event caller_left and a counter of its own. CallerThatLeavesEndsTheRun fails without it (one repeat taken, one refusal counted).

--- a/modules/mesh/callers/entrypath.cpp
+++ b/modules/mesh/callers/entrypath.cpp
@@ -189,6 +189,9 @@
         attempts.last = attempt(*way, request, entry, pending, attempts);
         learn(entry, attempts.last, startedAt);
         record(way->node, attempts);
+        if (pending.cancelled()) {
+            return concludeAbandoned(entry, attempts);
+        }
         if (attempts.last.outcome == RunOutcome::Answered && attempts.last.response.status < FirstServerError) {
             break;
         }
@@ -206,6 +209,7 @@
             break;
         }
         if (reached) {
+            m_environment.metrics.counter("pimentohollow_repeats_total").add();
             Log.info("repeated",
                      { { "request", entry.requestId },
                        { "outcome", std::string(RunOutcomeNames.name(attempts.last.outcome)) },
@@ -400,6 +404,22 @@
     return refuse(entry, attempts.last.outcome == RunOutcome::TimedOut ? GatewayTimeout : BadGateway, reason, {}, inputs);
 }
 
+HttpResponseMessage EntryPath::concludeAbandoned(const Entry &entry, const Attempts &attempts)
+{
+    m_environment.metrics.counter("pimentohollow_callers_left_total").add();
+    const auto held = std::chrono::duration_cast<std::chrono::milliseconds>(m_environment.loop.clock().now() - entry.arrivedAt);
+    Log.info("caller_left",
+             { { "request", entry.requestId },
+               { "route", entry.route->name.text() },
+               { "service", entry.service.text() },
+               { "node", attempts.lastNode.text() },
+               { "offers", std::to_string(attempts.offers) },
+               { "held_ms", std::to_string(held.count()) } });
+    HttpResponseMessage response;
+    response.status = GatewayTimeout;
+    return response;
+}
+
 void EntryPath::logPlaced(const Entry &entry, const Attempts &attempts)
 {
     const TimePoint now = m_environment.loop.now();
--- a/modules/mesh/callers/entrypath.h
+++ b/modules/mesh/callers/entrypath.h
@@ -109,6 +109,8 @@
     bool mayRepeat(const Entry &entry, const Attempts &attempts);
     TimePoint attemptDeadline(const Entry &entry) const;
     HttpResponseMessage conclude(const Entry &entry, Attempts &&attempts);
+    /** The caller has left during an attempt; nobody reads the response that is returned. */
+    HttpResponseMessage concludeAbandoned(const Entry &entry, const Attempts &attempts);
     /** @param inputs what decided it, for the log */
     HttpResponseMessage
     refuse(const Entry &entry, std::uint16_t status, std::string_view reason, Duration retryAfter = {}, const std::string &inputs = {});
