--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -47,7 +47,8 @@
  * to the rate whatever the demand does; what was admitted too much is paid back.
  *
  * The load it answers: one account sends several times its rate to all nodes at once, while the others arrive in clumps within theirs. A
- * node that can't be heard is taken to spend its share, so that a partition doesn't grant it twice. Not thread-safe, no clock.
+ * node that can't be heard is taken to spend its share, so that a partition doesn't grant it twice. A restarted node takes the state of the
+ * buckets from the others, so that a restart doesn't grant the burst again. Not thread-safe, no clock.
  */
 class AccountAllowance
 {
