Leave the buckets of other nodes alone when a node joins

Levels fell by up to 43 tokens in the fleet when a node joined at 21 s. JoiningNodeLeavesTheBucketsOfOthersAlone fails first (0 tokens of 100).

--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -99,22 +99,22 @@
         account.level -= spending.admitted;
         return;
     }
-    // The other node doesn't know yet what was admitted here.
-    const double missing = *spending.missing + account.admitted;
+    // The other node doesn't know yet what this one admitted since it started.
+    const double missing = *spending.missing + (isLearning(now) ? account.admitted : 0);
     if (!account.started) {
         account.toldMissing = std::max(account.toldMissing.value_or(0), missing);
         account.toldAt = now;
         return;
     }
     const double told = account.limit.burst - missing;
-    account.level = knowsLevel(account, now) ? std::min(levelNow(account, now), told) : told;
+    account.level = account.toldMissing || !isLearning(now) ? std::min(levelNow(account, now), told) : told;
     account.levelAt = now;
     account.toldMissing = missing;
 }
 
-bool AccountAllowance::knowsLevel(const Account &account, TimePoint now) const
+bool AccountAllowance::isLearning(TimePoint now) const
 {
-    return account.toldMissing || now - m_startedAt >= LearningTime;
+    return now - m_startedAt < LearningTime;
 }
 
 double AccountAllowance::levelNow(const Account &account, TimePoint now)
@@ -193,7 +193,7 @@
         AccountSpending spending{ name,
                                   account.demand * std::exp(-elapsedSeconds(account.demandAt, now) / DemandSeconds),
                                   account.admitted };
-        if (account.started && knowsLevel(account, now)) {
+        if (account.started && !isLearning(now)) {
             spending.missing = account.limit.burst - levelNow(account, now);
         }
         result.push_back(std::move(spending));
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -128,7 +128,8 @@
     static double levelNow(const Account &account, TimePoint now);
     /** Takes the first report of a node on an account. */
     void recordFirst(Account &account, const AccountSpending &spending, TimePoint now) const;
-    bool knowsLevel(const Account &account, TimePoint now) const;
+    /** This node has started too lately to know the buckets by itself. */
+    bool isLearning(TimePoint now) const;
     void forget(Account &account, const PeerAccount &peer);
     /** Demand of the nodes that were not heard lately; their share of all demand is kept for them. */
     double silentDemand(const AccountName &name, const Account &account) const;
--- a/modules/mesh/tests/accountallowancetest.cpp
+++ b/modules/mesh/tests/accountallowancetest.cpp
@@ -109,8 +109,9 @@
             }
             for (std::size_t other = 0; other < Nodes; ++other) {
                 if (other != n) {
-                    nodes.at(other).reported(NodeName(std::to_string(n)), nodes.at(n).snapshot(now), now);
+                    // The restarted node has heard some others before it is heard by the next one.
                     nodes.at(n).reported(NodeName(std::to_string(other)), nodes.at(other).snapshot(now), now);
+                    nodes.at(other).reported(NodeName(std::to_string(n)), nodes.at(n).snapshot(now), now);
                 }
             }
         }
--- a/modules/mesh/tests/statusexchangetest.cpp
+++ b/modules/mesh/tests/statusexchangetest.cpp
@@ -87,6 +87,26 @@
     EXPECT_GE(restarted.accounts.available(Florists, Limit, now), Limit.burst * 0.9);
 }
 
+/** Guards against a node that joins and takes tokens out of the buckets of all others (seen on jtk-wien quiet-1: 67 more refusals). */
+TEST(StatusExchangeTest, JoiningNodeLeavesTheBucketsOfOthersAlone)
+{
+    const TimePoint now{ 1h };
+    ExchangingNode one(now - 1min);
+    ExchangingNode other(now - 1min);
+    one.spendAll(now - 30s);
+
+    ExchangingNode joining(now);
+    for (auto *it : { &one, &other }) {
+        StatusFrame first;
+        it->exchange.fillFirst(first, now);
+        joining.exchange.take(NodeName(it == &one ? "one" : "other"), first, now);
+    }
+    StatusFrame first;
+    joining.exchange.fillFirst(first, now);
+    one.exchange.take(NodeName("joining"), first, now);
+    EXPECT_GE(one.accounts.available(Florists, Limit, now), Limit.burst * 0.9);
+}
+
 /** Guards against a node that grants a burst which others took before its own first request of the account. */
 TEST(StatusExchangeTest, RegularFrameTellsSpendingSinceTheFirst)
 {
