Report spending in time for the size of the fleet

With 86 nodes, which report every 0.9 s, they could spend several bursts together before any of them had to report. A node now reports when all nodes together, if they spend alike, could have taken 0.7 of the tokens that are left; when none are left, shares bound the spending and the old threshold holds.

--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -33,6 +33,8 @@
 /** Part of the burst whose spending makes a report urgent. */
 constexpr double UrgentPart = 0.04;
 constexpr double UrgentLeast = 4;
+/** Part of the bucket's tokens that all nodes together may spend before they report, if they spend alike. */
+constexpr double UrgentFleetPart = 0.7;
 constexpr double LeastReportedDemand = 0.05;
 
 double secondsOf(TimePoint time)
@@ -169,7 +171,18 @@
     account.level -= 1;
     account.shareTokens = std::max(0.0, account.shareTokens - 1);
     ++account.admitted;
-    m_urgent = m_urgent || account.admitted - account.admittedAtReport > std::max(UrgentLeast, account.limit.burst * UrgentPart);
+    m_urgent = m_urgent || account.admitted - account.admittedAtReport > urgentSpending(account);
+}
+
+double AccountAllowance::urgentSpending(const Account &account) const
+{
+    const double usual = std::max(UrgentLeast, account.limit.burst * UrgentPart);
+    if (account.level <= 0) {
+        // Only shares of the rate are spent now, and they need no haste.
+        return usual;
+    }
+    const auto nodes = static_cast<double>(std::max(m_nodes, m_peers.size() + 1));
+    return std::min(usual, std::max(1.0, account.level * UrgentFleetPart / nodes));
 }
 
 std::vector<AccountSpending> AccountAllowance::takeReport(TimePoint now)
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -137,6 +137,8 @@
     /** Tokens of the bucket that neither other nodes may have taken unseen nor are kept for silent ones. */
     double freeTokens(const AccountName &name, const Account &account, TimePoint now) const;
     void take(Account &account);
+    /** Requests admitted since the last report that the others should know at once. */
+    double urgentSpending(const Account &account) const;
     double share(const AccountName &name, const Account &account) const;
     void removeSilentPeers(TimePoint now);
     std::size_t unheardNodes() const;
--- a/modules/mesh/tests/accountallowancetest.cpp
+++ b/modules/mesh/tests/accountallowancetest.cpp
@@ -1,7 +1,6 @@
 #include "mesh/decisions/accountallowance.h"
 #include "core/random.h"
 
-#include <array>
 #include <cmath>
 #include <deque>
 #include <gtest/gtest.h>
@@ -18,7 +17,6 @@
 
 const AccountName Florists("florists");
 constexpr AccountLimit Limit{ 150, 150 };
-constexpr std::size_t Nodes = 16;
 constexpr Duration ReportDelay = 5ms;
 /** Time until a restarted node and the others are connected again. */
 constexpr Duration ConnectTime = 30ms;
@@ -40,6 +38,7 @@
     /** Nodes that restart at the same moment, taken in turn. */
     std::size_t restartedNodes = 1;
     Duration reportInterval = 250ms;
+    std::size_t nodes = 16;
 };
 
 class AccountAllowanceTest : public ::testing::TestWithParam<DemandCase>
@@ -60,9 +59,10 @@
     constexpr Duration Step = 1ms;
     constexpr Duration Window = 5s;
     const TimePoint start{ 1h };
-    std::vector<AccountAllowance> nodes(Nodes, AccountAllowance(start));
-    std::array<Duration, Nodes> lastReport{};
-    std::array<TimePoint, Nodes> connectedAt{};
+    const std::size_t count = demand.nodes;
+    std::vector<AccountAllowance> nodes(count, AccountAllowance(start));
+    std::vector<Duration> lastReport(count);
+    std::vector<TimePoint> connectedAt(count);
     struct Report {
         TimePoint due{};
         std::size_t from = 0;
@@ -71,7 +71,7 @@
     std::deque<Report> reports;
     Random random(11);
     for (auto &it : nodes) {
-        it.setNodes(Nodes);
+        it.setNodes(count);
         it.setReportInterval(demand.reportInterval);
     }
     std::size_t nextRestart = 0;
@@ -85,7 +85,7 @@
         while (!reports.empty() && reports.front().due <= now) {
             const auto report = std::move(reports.front());
             reports.pop_front();
-            for (std::size_t n = 0; n < Nodes; ++n) {
+            for (std::size_t n = 0; n < count; ++n) {
                 const bool cut = second && (n < demand.cutNodes) != (report.from < demand.cutNodes);
                 if (n != report.from && !cut && now >= connectedAt.at(n)) {
                     nodes.at(n).reported(NodeName(std::to_string(report.from)), report.spending, now);
@@ -97,17 +97,17 @@
             for (std::size_t n = 0; n < demand.restartedNodes; ++n) {
                 auto &node = nodes.at(nextRestart);
                 node = AccountAllowance(now);
-                node.setNodes(Nodes);
+                node.setNodes(count);
                 node.setReportInterval(demand.reportInterval);
                 connectedAt.at(nextRestart) = now + ConnectTime;
-                nextRestart = (nextRestart + 1) % Nodes;
+                nextRestart = (nextRestart + 1) % count;
             }
         }
-        for (std::size_t n = 0; n < Nodes; ++n) {
+        for (std::size_t n = 0; n < count; ++n) {
             if (connectedAt.at(n) != now) {
                 continue;
             }
-            for (std::size_t other = 0; other < Nodes; ++other) {
+            for (std::size_t other = 0; other < count; ++other) {
                 if (other != n) {
                     // The restarted node has heard some others before it is heard by the next one.
                     nodes.at(n).reported(NodeName(std::to_string(other)), nodes.at(other).snapshot(now), now);
@@ -115,7 +115,7 @@
                 }
             }
         }
-        for (std::size_t n = 0; n < Nodes; ++n) {
+        for (std::size_t n = 0; n < count; ++n) {
             if (now < connectedAt.at(n)) {
                 continue;
             }
@@ -131,7 +131,7 @@
                 continue;
             }
             const bool skewed = second && random.unit() < demand.skew;
-            const std::size_t node = random.below(skewed ? 4 : Nodes);
+            const std::size_t node = random.below(skewed ? 4 : count);
             ++result.asked;
             if (bucket >= 1) {
                 bucket -= 1;
@@ -181,7 +181,13 @@
                                            DemandCase{ "RestartsOfManyAndHot", 95, 600, 0, 0, 0.8, 1500ms, 8 },
                                            DemandCase{ "RestartsOfAllAndHot", 95, 600, 0, 0, 0.8, 2500ms, 16 },
                                            DemandCase{ "LargeFleetIntervalWithinTheRate", 90, 90, 0, 0, 0.98, 0ms, 1, 1000ms },
-                                           DemandCase{ "LargeFleetIntervalAndHot", 95, 600, 0, 0, 0.9, 0ms, 1, 1000ms }),
+                                           DemandCase{ "LargeFleetIntervalAndHot", 95, 600, 0, 0, 0.9, 0ms, 1, 1000ms },
+                                           // The surges of a hunted day with 86 nodes.
+                                           DemandCase{ "LargeFleetWithinTheRate", 90, 90, 0, 0, 0.98, 0ms, 1, 900ms, 86 },
+                                           DemandCase{ "LargeFleetAndHot", 95, 700, 0, 0, 0.9, 0ms, 1, 900ms, 86 },
+                                           DemandCase{ "LargeFleetAndVeryHot", 70, 1100, 0, 0, 0.9, 0ms, 1, 900ms, 86 },
+                                           DemandCase{ "LargeFleetCutAndHot", 95, 600, 0, 21, 0.9, 0ms, 1, 900ms, 86 },
+                                           DemandCase{ "LargeFleetSkewed", 90, 90, 0.9, 0, 0.98, 0ms, 1, 900ms, 86 }),
                          [](const auto &it) {
                              return std::string(it.param.name);
                          });
