--- a/modules/mesh/tests/statusexchangetest.cpp
+++ b/modules/mesh/tests/statusexchangetest.cpp
@@ -47,6 +47,14 @@
         return granted;
     }
 
+    /** Sends the first status of a connection. */
+    void tellFirst(const char *ownName, ExchangingNode &other, TimePoint now)
+    {
+        StatusFrame first;
+        exchange.fillFirst(first, now);
+        other.exchange.take(NodeName(ownName), first, now);
+    }
+
     ManualClock clock;
     AccountAllowance accounts;
     RepeatBudget repeats;
@@ -66,9 +74,7 @@
     EXPECT_GT(old.repeatAll(now), 5U);
 
     ExchangingNode restarted(now);
-    StatusFrame first;
-    old.exchange.fillFirst(first, now);
-    restarted.exchange.take(NodeName("old"), first, now);
+    old.tellFirst("old", restarted, now);
     EXPECT_LE(restarted.spendAll(now), 1U);
     EXPECT_LE(restarted.repeatAll(now), 1U);
 }
@@ -81,9 +87,7 @@
     old.spendAll(now - 30s);
 
     ExchangingNode restarted(now);
-    StatusFrame first;
-    old.exchange.fillFirst(first, now);
-    restarted.exchange.take(NodeName("old"), first, now);
+    old.tellFirst("old", restarted, now);
     EXPECT_GE(restarted.accounts.available(Florists, Limit, now), Limit.burst * 0.9);
 }
 
@@ -96,14 +100,9 @@
     one.spendAll(now - 30s);
 
     ExchangingNode joining(now);
-    for (auto *it : { &one, &other }) {
-        StatusFrame first;
-        it->exchange.fillFirst(first, now);
-        joining.exchange.take(NodeName(it == &one ? "one" : "other"), first, now);
-    }
-    StatusFrame first;
-    joining.exchange.fillFirst(first, now);
-    one.exchange.take(NodeName("joining"), first, now);
+    one.tellFirst("one", joining, now);
+    other.tellFirst("other", joining, now);
+    joining.tellFirst("joining", one, now);
     EXPECT_GE(one.accounts.available(Florists, Limit, now), Limit.burst * 0.9);
 }
 
@@ -113,9 +112,7 @@
     const TimePoint now{ 1h };
     ExchangingNode one(now - 1min);
     ExchangingNode other(now - 1min);
-    StatusFrame first;
-    one.exchange.fillFirst(first, now);
-    other.exchange.take(NodeName("one"), first, now);
+    one.tellFirst("one", other, now);
     one.spendAll(now);
     StatusFrame regular;
     one.exchange.fillRegular(regular, now);
