--- a/testing/soak/soakplan.cpp
+++ b/testing/soak/soakplan.cpp
@@ -21,6 +21,7 @@
 
 /** Faults of the links between nodes are a series of their own, so that older seeds still play what they played. */
 constexpr auto FirstPeerFault = static_cast<std::size_t>(FaultKind::PeersReset);
+/** Mixed into the seed of that series, which would otherwise draw the same numbers as the other one. */
 constexpr std::uint64_t PeerSeries = 0x9e3779b97f4a7c15;
 constexpr Duration MeanPeerGap = 1200ms;
 
--- a/testing/soak/soakrun.cpp
+++ b/testing/soak/soakrun.cpp
@@ -310,7 +310,7 @@
         while (!machine.node->ended() && m_loop.clock().now() < end) {
             m_loop.sleepFor(CheckPause);
         }
-        // A process that hasn't set its handlers yet dies of the signal, and has nothing to lose.
+        // Before its handlers are set, the signal ends the process; it has opened no listener then, so no request is cut.
         const bool tooEarly = !answered && machine.node->status() == -SIGTERM;
         if (fault.kind == FaultKind::NodeStopped && !tooEarly && (!machine.node->ended() || machine.node->status() != 0)) {
             const std::string how = machine.node->ended() ? fmt::format("ended with {}", machine.node->status()) : "didn't end in time";
