--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds UsualReportInterval(250);
 /** Report intervals after which a node counts as silent: the second report is missing, or the first one is very late. */
 constexpr double SilentIntervals = 1.6;
+/** The same for the report of a data centre, whose relay may have to be replaced. */
+constexpr double DataCentreSilentIntervals = 2;
 /** A node that has heard the others for this long knows what was spent; before, it doesn't tell others its level. */
 constexpr std::chrono::seconds LearningTime(2);
 /** Demand that every node is assumed to have, as a part of the average, so that a first request finds a token. */
@@ -36,6 +38,8 @@
 /** Part of the bucket's tokens that all nodes together may spend before they report, if they spend alike. */
 constexpr double UrgentFleetPart = 0.7;
 constexpr double LeastReportedDemand = 0.05;
+/** A bucket that lacks less than this is told as full. */
+constexpr double LeastReportedMissing = 0.5;
 
 double secondsOf(TimePoint time)
 {
@@ -57,7 +61,7 @@
 
 void AccountAllowance::setReportInterval(Duration interval)
 {
-    m_silentTime = std::chrono::duration_cast<Duration>(interval * SilentIntervals);
+    m_reportInterval = interval;
 }
 
 void AccountAllowance::setNodes(std::size_t nodes)
@@ -65,11 +69,16 @@
     m_nodes = std::max<std::size_t>(1, nodes);
 }
 
-void AccountAllowance::reported(const NodeName &node, const std::vector<AccountSpending> &spending, TimePoint now)
+void AccountAllowance::reported(const Reporter &reporter, const std::vector<AccountSpending> &spending, TimePoint now)
 {
-    auto &peer = m_peers[node];
+    const auto [entry, added] = m_peers.try_emplace(reporter.name);
+    auto &peer = entry->second;
+    m_peerNodes += reporter.nodes - (added ? 0 : peer.nodes);
     peer.heardAt = now;
-    const double nowSeconds = secondsOf(now);
+    peer.nodes = reporter.nodes;
+    peer.sameDataCentre = reporter.sameDataCentre;
+    // The sums of a data centre are as old as the statuses that went into them.
+    const double atSeconds = secondsOf(reporter.sameDataCentre ? now : now - m_reportInterval);
     auto before = std::exchange(peer.accounts, {});
     for (const auto &it : spending) {
         auto &account = m_accounts[it.account];
@@ -77,28 +86,94 @@
         if (found != before.end()) {
             // A lower count is that of a new process of the node.
             const bool restarted = it.admitted < found->second.admitted;
-            account.level -= restarted ? it.admitted : it.admitted - found->second.admitted;
+            const std::uint32_t spent = restarted ? it.admitted : it.admitted - found->second.admitted;
+            account.level -= spent;
+            account.dataCentreAdmitted += reporter.sameDataCentre ? spent : 0;
             forget(account, found->second);
             before.erase(found);
         } else {
-            recordFirst(account, it, now);
+            recordFirst(account, it, reporter.sameDataCentre, now);
         }
         account.othersDemand += it.demand;
-        account.othersDemandSeconds += it.demand * nowSeconds;
-        peer.accounts[it.account] = { it.demand, nowSeconds, it.admitted };
+        account.othersDemandSeconds += it.demand * atSeconds;
+        peer.accounts[it.account] = { it.demand, atSeconds, it.admitted };
     }
     for (auto &[name, old] : before) {
         // Not reported any more: no demand. The count is kept for the next report.
         forget(m_accounts[name], old);
-        peer.accounts[name] = { 0, nowSeconds, old.admitted };
+        peer.accounts[name] = { 0, atSeconds, old.admitted };
     }
 }
 
-void AccountAllowance::recordFirst(Account &account, const AccountSpending &spending, TimePoint now) const
+void AccountAllowance::forgetReporter(const NodeName &name)
+{
+    const auto found = m_peers.find(name);
+    if (found == m_peers.end()) {
+        return;
+    }
+    for (const auto &[account, peer] : found->second.accounts) {
+        forget(m_accounts[account], peer);
+    }
+    m_peerNodes -= found->second.nodes;
+    m_peers.erase(found);
+    std::erase(m_silent, name);
+}
+
+std::vector<AccountSpending> AccountAllowance::dataCentreReport(TimePoint now)
+{
+    removeSilentPeers(now);
+    std::unordered_map<AccountName, double> demands;
+    for (const auto &[name, peer] : m_peers) {
+        if (!peer.sameDataCentre || isSilent(peer, now)) {
+            continue;
+        }
+        for (const auto &[account, it] : peer.accounts) {
+            demands[account] += it.demand;
+        }
+    }
+    std::vector<AccountSpending> result;
+    for (auto &[name, account] : m_accounts) {
+        measure(account, 0, now);
+        account.dataCentreAdmittedAtReport = account.dataCentreAdmitted;
+        AccountSpending spending{ name, account.demand + demands[name], account.dataCentreAdmitted };
+        if (account.started && !isLearning(now)) {
+            spending.missing = account.limit.burst - levelNow(account, now);
+        }
+        if (spending.demand >= LeastReportedDemand || spending.missing.value_or(0) >= LeastReportedMissing) {
+            result.push_back(std::move(spending));
+        }
+    }
+    return result;
+}
+
+bool AccountAllowance::dataCentreReportIsUrgent() const
+{
+    // Half of what the nodes may spend before each of them reports, as that is unseen as well.
+    constexpr double Part = 0.5;
+    std::size_t nodes = 1;
+    for (const auto &[name, peer] : m_peers) {
+        nodes += peer.sameDataCentre ? peer.nodes : 0;
+    }
+    return std::any_of(m_accounts.begin(), m_accounts.end(), [&](const auto &it) {
+        const Account &account = it.second;
+        const std::uint32_t spent = account.dataCentreAdmitted - account.dataCentreAdmittedAtReport;
+        return spent > 0 && spent > urgentSpending(account) * static_cast<double>(nodes) * Part;
+    });
+}
+
+std::size_t AccountAllowance::heardInDataCentre(TimePoint now)
+{
+    return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &it) {
+               return it.second.sameDataCentre && !isSilent(it.second, now);
+           }));
+}
+
+void AccountAllowance::recordFirst(Account &account, const AccountSpending &spending, bool sameDataCentre, TimePoint now) const
 {
     if (!spending.missing) {
         // The node has started lately, or had no requests of the account: all that it admitted was spent since.
         account.level -= spending.admitted;
+        account.dataCentreAdmitted += sameDataCentre ? spending.admitted : 0;
         return;
     }
     // The other node doesn't know yet what this one admitted since it started.
@@ -171,6 +246,7 @@
     account.level -= 1;
     account.shareTokens = std::max(0.0, account.shareTokens - 1);
     ++account.admitted;
+    ++account.dataCentreAdmitted;
     m_urgent = m_urgent || account.admitted - account.admittedAtReport > urgentSpending(account);
 }
 
@@ -181,7 +257,7 @@
         // Only shares of the rate are spent now, and they need no haste.
         return usual;
     }
-    const auto nodes = static_cast<double>(std::max(m_nodes, m_peers.size() + 1));
+    const auto nodes = static_cast<double>(std::max(m_nodes, coveredNodes()));
     return std::min(usual, std::max(1.0, account.level * UrgentFleetPart / nodes));
 }
 
@@ -259,7 +335,7 @@
 
 double AccountAllowance::silentDemand(const AccountName &name, const Account &account) const
 {
-    const std::size_t silentNodes = m_silent.size() + unheardNodes();
+    const std::size_t silentNodes = nodesOf(m_silent) + unheardNodes();
     if (silentNodes == 0) {
         return 0;
     }
@@ -270,7 +346,7 @@
         reported += found == accounts.end() ? 0 : found->second.demand;
     }
     const double heardDemand = account.demand + std::max(0.0, account.othersDemand - reported);
-    const auto heardNodes = static_cast<double>(m_peers.size() - m_silent.size() + 1);
+    const auto heardNodes = static_cast<double>(coveredNodes() - nodesOf(m_silent));
     // What the others report now is the best guess for those that can't: demand rises everywhere at once.
     return std::max(0.0, std::max(reported, heardDemand / heardNodes * static_cast<double>(silentNodes)) - reported);
 }
@@ -290,7 +366,7 @@
 
 double AccountAllowance::share(const AccountName &name, const Account &account) const
 {
-    const auto nodes = static_cast<double>(std::max(m_nodes, m_peers.size() + 1));
+    const auto nodes = static_cast<double>(std::max(m_nodes, coveredNodes()));
     const double total = account.demand + account.othersDemand + silentDemand(name, account);
     const double base = std::max(total, 1.0) * BaseDemandShare / nodes;
     return (account.demand + base) / (total + base * nodes);
@@ -304,9 +380,8 @@
     m_nextPeerCheck = now + PeerCheckInterval;
     m_silent.clear();
     for (auto it = m_peers.begin(); it != m_peers.end();) {
-        const Duration silence = now - it->second.heardAt;
-        if (silence <= PeerMemory) {
-            if (silence > m_silentTime) {
+        if (now - it->second.heardAt <= PeerMemory) {
+            if (isSilent(it->second, now)) {
                 m_silent.push_back(it->first);
             }
             ++it;
@@ -315,14 +390,34 @@
         for (const auto &[name, peer] : it->second.accounts) {
             forget(m_accounts[name], peer);
         }
+        m_peerNodes -= it->second.nodes;
         it = m_peers.erase(it);
     }
 }
 
+bool AccountAllowance::isSilent(const Peer &peer, TimePoint now) const
+{
+    return now - peer.heardAt > m_reportInterval * (peer.sameDataCentre ? SilentIntervals : DataCentreSilentIntervals);
+}
+
 std::size_t AccountAllowance::unheardNodes() const
 {
-    const std::size_t known = m_peers.size() + 1;
+    const std::size_t known = coveredNodes();
     return m_nodes > known ? m_nodes - known : 0;
 }
 
+std::size_t AccountAllowance::coveredNodes() const
+{
+    return m_peerNodes + 1;
+}
+
+std::size_t AccountAllowance::nodesOf(const std::vector<NodeName> &reporters) const
+{
+    std::size_t nodes = 0;
+    for (const auto &it : reporters) {
+        nodes += m_peers.at(it).nodes;
+    }
+    return nodes;
+}
+
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/names.h"
+#include "mesh/decisions/reporter.h"
 #include "mesh/model/trafficrules.h"
 
 #include <chrono>
@@ -27,14 +28,17 @@
     return { account.milliRate / Milli, static_cast<double>(account.burst) };
 }
 
-/** What one node did for one account. */
+/** What one node, or a data centre, did for one account. */
 struct AccountSpending {
     AccountName account;
     /** Requests per second that were asked for, admitted or not. */
     double demand = 0;
-    /** Requests admitted since the node started. */
+    /** Requests admitted since the reporter started. */
     std::uint32_t admitted = 0;
-    /** Tokens that the fleet's bucket lacks to be full. Only in a snapshot, and only if the node has known the bucket for long enough. */
+    /**
+     * Tokens that the fleet's bucket lacks to be full. Only in a snapshot or in the report of a data centre, and only if the node has known
+     * the bucket for long enough.
+     */
     std::optional<double> missing = std::nullopt;
 };
 
@@ -48,7 +52,10 @@
  *
  * The load it answers: one account sends several times its rate to all nodes at once, while the others arrive in clumps within theirs. A
  * node that can't be heard is taken to spend its share, so that a partition doesn't grant it twice. A restarted node takes the state of the
- * buckets from the others, so that a restart doesn't grant the burst again. Not thread-safe, no clock.
+ * buckets from the others, so that a restart doesn't grant the burst again.
+ *
+ * Nodes of a data centre report to each other; another data centre is heard through the sums that one of its nodes makes
+ * (dataCentreReport()). Not thread-safe, no clock.
  */
 class AccountAllowance
 {
@@ -64,7 +71,15 @@
      * Takes what another node reported. The first report of a node must be its snapshot(): an account that appears later in its reports is
      * taken to have spent nothing before.
      */
-    void reported(const NodeName &node, const std::vector<AccountSpending> &spending, TimePoint now);
+    void reported(const Reporter &reporter, const std::vector<AccountSpending> &spending, TimePoint now);
+    /** Drops a reporter whose place another one has taken; its spending stays counted. */
+    void forgetReporter(const NodeName &name);
+    /** What the nodes of the own data centre did together, as far as they are heard, with the state of the buckets. */
+    std::vector<AccountSpending> dataCentreReport(TimePoint now);
+    /** The own data centre has admitted so much since dataCentreReport() that the others should know at once. */
+    bool dataCentreReportIsUrgent() const;
+    /** Nodes of the own data centre that are heard now, this one included. */
+    std::size_t heardInDataCentre(TimePoint now);
 
     /** Starts to follow the bucket of an account, so that what other nodes take is known before the first request here. */
     void setLimit(const AccountName &account, const AccountLimit &limit, TimePoint now);
@@ -106,6 +121,9 @@
         TimePoint demandAt{};
         std::uint32_t admitted = 0;
         std::uint32_t admittedAtReport = 0;
+        /** Admitted in the whole data centre since this node started, and at the last dataCentreReport(). */
+        std::uint32_t dataCentreAdmitted = 0;
+        std::uint32_t dataCentreAdmittedAtReport = 0;
         /** Tokens of this node's share, for the time when the bucket is empty. */
         double shareTokens = 0;
         TimePoint shareAt{};
@@ -120,6 +138,8 @@
     };
     struct Peer {
         TimePoint heardAt{};
+        std::size_t nodes = 1;
+        bool sameDataCentre = true;
         std::unordered_map<AccountName, PeerAccount> accounts;
     };
 
@@ -127,7 +147,8 @@
     static void measure(Account &account, double count, TimePoint now);
     static double levelNow(const Account &account, TimePoint now);
     /** Takes the first report of a node on an account. */
-    void recordFirst(Account &account, const AccountSpending &spending, TimePoint now) const;
+    void recordFirst(Account &account, const AccountSpending &spending, bool sameDataCentre, TimePoint now) const;
+    bool isSilent(const Peer &peer, TimePoint now) const;
     /** This node has started too lately to know the buckets by itself. */
     bool isLearning(TimePoint now) const;
     void forget(Account &account, const PeerAccount &peer);
@@ -141,10 +162,14 @@
     double urgentSpending(const Account &account) const;
     double share(const AccountName &name, const Account &account) const;
     void removeSilentPeers(TimePoint now);
+    /** Nodes of the directory that no reporter covers. */
     std::size_t unheardNodes() const;
+    std::size_t nodesOf(const std::vector<NodeName> &reporters) const;
+    /** Nodes that the reporters cover, and this one. */
+    std::size_t coveredNodes() const;
 
     TimePoint m_startedAt;
-    Duration m_silentTime{};
+    Duration m_reportInterval{};
     std::size_t m_nodes = 1;
     bool m_urgent = false;
     TimePoint m_nextPeerCheck{};
@@ -152,6 +177,8 @@
     std::unordered_map<NodeName, Peer> m_peers;
     /** Those of m_peers that are silent at the moment. */
     std::vector<NodeName> m_silent;
+    /** Nodes that all of m_peers cover. */
+    std::size_t m_peerNodes = 0;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/repeatbudget.cpp
+++ b/modules/mesh/decisions/repeatbudget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace Pimentohollow
 {
@@ -49,10 +50,11 @@
     m_repeats.setReportInterval(interval);
 }
 
-void RepeatBudget::reported(const NodeName &node, const std::vector<ServiceRepeats> &services, TimePoint now)
+void RepeatBudget::reported(const Reporter &reporter, const std::vector<ServiceRepeats> &services, TimePoint now)
 {
-    auto &peer = m_peers[node];
+    auto &peer = m_peers[reporter.name];
     peer.heardAt = now;
+    peer.sameDataCentre = reporter.sameDataCentre;
     peer.rates.clear();
     std::vector<AccountSpending> spending;
     spending.reserve(services.size());
@@ -60,7 +62,45 @@
         peer.rates[it.service] = it.requests;
         spending.push_back({ nameFor(it.service), it.demand, it.repeats, it.missing });
     }
-    m_repeats.reported(node, spending, now);
+    m_repeats.reported(reporter, spending, now);
+}
+
+void RepeatBudget::forgetReporter(const NodeName &name)
+{
+    m_peers.erase(name);
+    m_repeats.forgetReporter(name);
+}
+
+std::vector<ServiceRepeats> RepeatBudget::dataCentreReport(TimePoint now)
+{
+    std::unordered_map<AccountName, AccountSpending> spent;
+    for (auto &it : m_repeats.dataCentreReport(now)) {
+        const AccountName name = it.account;
+        spent.emplace(name, std::move(it));
+    }
+    std::set<ServiceName> services;
+    for (const auto &[service, requests] : m_requests) {
+        services.insert(service);
+    }
+    for (const auto &[name, peer] : m_peers) {
+        for (const auto &[service, rate] : peer.rates) {
+            services.insert(service);
+        }
+    }
+    std::vector<ServiceRepeats> result;
+    for (const auto &service : services) {
+        ServiceRepeats report{ service, ownRate(service, now) + othersRate(service, false, now) };
+        const auto found = spent.find(nameFor(service));
+        if (found != spent.end()) {
+            report.demand = found->second.demand;
+            report.repeats = found->second.admitted;
+            report.missing = found->second.missing;
+        }
+        if (report.requests >= LeastReportedRate || found != spent.end()) {
+            result.push_back(std::move(report));
+        }
+    }
+    return result;
 }
 
 std::vector<ServiceRepeats> RepeatBudget::takeReport(TimePoint now)
@@ -133,13 +173,20 @@
     return it.own;
 }
 
-AccountLimit RepeatBudget::limitOf(const ServiceName &service, TimePoint now)
+double RepeatBudget::othersRate(const ServiceName &service, bool everywhere, TimePoint now) const
 {
-    double rate = ownRate(service, now);
+    double rate = 0;
     for (const auto &[node, peer] : m_peers) {
-        const auto found = now - peer.heardAt <= RateMemory ? peer.rates.find(service) : peer.rates.end();
+        const bool counts = (everywhere || peer.sameDataCentre) && now - peer.heardAt <= RateMemory;
+        const auto found = counts ? peer.rates.find(service) : peer.rates.end();
         rate += found == peer.rates.end() ? 0 : found->second;
     }
+    return rate;
+}
+
+AccountLimit RepeatBudget::limitOf(const ServiceName &service, TimePoint now)
+{
+    const double rate = ownRate(service, now) + othersRate(service, true, now);
     const double repeats = std::max(LeastRate, rate * m_settings.ratio * RatioShare);
     return { repeats, m_settings.slack * SlackShare + repeats * SavedSeconds };
 }
--- a/modules/mesh/decisions/repeatbudget.h
+++ b/modules/mesh/decisions/repeatbudget.h
@@ -59,7 +59,16 @@
     /** How often nodes report. */
     void setReportInterval(Duration interval);
     /** Takes what another node reported; its first report must be its snapshot(). */
-    void reported(const NodeName &node, const std::vector<ServiceRepeats> &services, TimePoint now);
+    void reported(const Reporter &reporter, const std::vector<ServiceRepeats> &services, TimePoint now);
+    /** Drops a reporter whose place another one has taken. */
+    void forgetReporter(const NodeName &name);
+    /** What the nodes of the own data centre did together, with the state of the budgets. */
+    std::vector<ServiceRepeats> dataCentreReport(TimePoint now);
+    /** As AccountAllowance::dataCentreReportIsUrgent(). */
+    bool dataCentreReportIsUrgent() const
+    {
+        return m_repeats.dataCentreReportIsUrgent();
+    }
     /** What this node did, for the others; services without requests are left out. */
     std::vector<ServiceRepeats> takeReport(TimePoint now);
     /** All services with the state of their budgets, for a node that hears this one for the first time. */
@@ -89,11 +98,14 @@
     };
     struct PeerRequests {
         TimePoint heardAt{};
+        bool sameDataCentre = true;
         std::unordered_map<ServiceName, double> rates;
     };
 
     double rateOf(const Requests &requests, TimePoint now) const;
     double ownRate(const ServiceName &service, TimePoint now);
+    /** Requests per second at other nodes. @param everywhere false: only those of the own data centre */
+    double othersRate(const ServiceName &service, bool everywhere, TimePoint now) const;
     AccountLimit limitOf(const ServiceName &service, TimePoint now);
     bool hasRoom(const ServiceName &service, double calls, double reservedShare, TimePoint now);
 
--- a/modules/mesh/decisions/treeadmission.cpp
+++ b/modules/mesh/decisions/treeadmission.cpp
@@ -61,9 +61,14 @@
     }
 }
 
-void TreeAdmission::reported(const NodeName &node, const std::map<ServiceName, RankDemand> &demand, TimePoint now)
+void TreeAdmission::reported(const Reporter &reporter, const std::map<ServiceName, RankDemand> &demand, TimePoint now)
 {
-    m_peers[node] = { now, demand };
+    m_peers[reporter.name] = { now, reporter.sameDataCentre, demand };
+}
+
+void TreeAdmission::forgetReporter(const NodeName &name)
+{
+    m_peers.erase(name);
 }
 
 void TreeAdmission::setCapacity(const ServiceName &service, const ServiceCapacity &capacity)
@@ -151,6 +156,23 @@
     return result;
 }
 
+std::map<ServiceName, RankDemand> TreeAdmission::dataCentreDemand(TimePoint now) const
+{
+    auto result = demand();
+    for (const auto &[name, peer] : m_peers) {
+        if (!peer.sameDataCentre || now - peer.heardAt > PeerMemory) {
+            continue;
+        }
+        for (const auto &[service, ranks] : peer.demand) {
+            auto &sum = result[service];
+            for (std::size_t n = 0; n < AdmissionRanks; ++n) {
+                sum[n] += ranks[n];
+            }
+        }
+    }
+    return result;
+}
+
 std::string TreeAdmission::describe(const RouteName &route, std::uint32_t rank) const
 {
     std::string result;
--- a/modules/mesh/decisions/treeadmission.h
+++ b/modules/mesh/decisions/treeadmission.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/names.h"
+#include "mesh/decisions/reporter.h"
 #include "mesh/model/servicework.h"
 
 #include <array>
@@ -46,8 +47,10 @@
 public:
     /** Takes the work that a request of @p route was found to bring. */
     void learn(const RouteName &route, const std::vector<ServiceWork> &work);
-    /** Demand that another node reported for a service. */
-    void reported(const NodeName &node, const std::map<ServiceName, RankDemand> &demand, TimePoint now);
+    /** Demand that another node, or another data centre, reported. */
+    void reported(const Reporter &reporter, const std::map<ServiceName, RankDemand> &demand, TimePoint now);
+    /** Drops a reporter whose place another one has taken. */
+    void forgetReporter(const NodeName &name);
     /** Call it for all services, then adjust(). A service that isn't set has no capacity. */
     void setCapacity(const ServiceName &service, const ServiceCapacity &capacity);
     /** Divides the slots anew; call it every AdjustInterval. */
@@ -63,6 +66,8 @@
     bool isCalm(const RouteName &route) const;
     /** This node's demand for the services that are more than half busy, for the others. */
     std::map<ServiceName, RankDemand> demand() const;
+    /** The same for all nodes of the own data centre. */
+    std::map<ServiceName, RankDemand> dataCentreDemand(TimePoint now) const;
     /** The services that @p route reaches with their slots, demand and admitted share for @p rank, for the log. */
     std::string describe(const RouteName &route, std::uint32_t rank) const;
     /** Share of the requests of @p rank whose trees reach @p service that are admitted. */
@@ -87,6 +92,7 @@
     };
     struct Peer {
         TimePoint heardAt{};
+        bool sameDataCentre = true;
         std::map<ServiceName, RankDemand> demand;
     };
 
--- a/modules/mesh/links/meshconnection.cpp
+++ b/modules/mesh/links/meshconnection.cpp
@@ -53,6 +53,20 @@
         return;
     }
     appendFrame(m_output, frame);
+    postFlush();
+}
+
+void MeshConnection::sendEncoded(std::string_view bytes)
+{
+    if (!isOpen()) {
+        return;
+    }
+    m_output += bytes;
+    postFlush();
+}
+
+void MeshConnection::postFlush()
+{
     if (m_blocked || std::exchange(m_flushPosted, true)) {
         return;
     }
--- a/modules/mesh/links/meshconnection.h
+++ b/modules/mesh/links/meshconnection.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Pimentohollow
 {
@@ -29,6 +30,8 @@
     void start();
     /** Queues a frame; dropped if the connection is closed. */
     void send(const MeshFrame &frame);
+    /** The same for a frame that appendFrame() has encoded, for one that goes to many nodes. */
+    void sendEncoded(std::string_view bytes);
     void close();
 
     bool isOpen() const
@@ -44,6 +47,7 @@
 
 private:
     void read();
+    void postFlush();
     bool handleReceived(std::string &received);
     void flush();
     void lose();
--- a/modules/mesh/links/meshlink.cpp
+++ b/modules/mesh/links/meshlink.cpp
@@ -2,6 +2,7 @@
 
 #include "core/logger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Pimentohollow
@@ -14,14 +15,24 @@
 constexpr std::chrono::milliseconds ShortestPause(50);
 /** Bounds the time until a node that has come back is used again. */
 constexpr std::chrono::milliseconds LongestPause(800);
-constexpr std::chrono::seconds PingInterval(1);
+/** A link to another data centre without a byte for this long is asked for an answer before a call relies on it. */
+constexpr std::chrono::milliseconds QuietTime(300);
+/** An unused link is asked this seldom: in a fleet of thousands most links are unused. */
+constexpr std::chrono::seconds IdleProbeInterval(10);
+/** A node that doesn't answer for this long is avoided; as long as three statuses of a small fleet. */
+constexpr std::chrono::milliseconds AnswerTime(750);
+/** Digests come at least twice in this time; it outlasts the change of a relay. */
+constexpr std::chrono::seconds VouchTime(2);
+/** The load of a digest was true up to two intervals ago; one that came with a reply since then is better. */
+constexpr std::chrono::milliseconds LoadFreshTime(250);
 const Logger Log("mesh");
 
 } // namespace
 
-MeshLink::MeshLink(EventLoop &loop, DirectoryEntry entry, Handlers handlers)
+MeshLink::MeshLink(EventLoop &loop, DirectoryEntry entry, DataCentreName ownDataCentre, Handlers handlers)
     : m_loop(loop)
     , m_entry(std::move(entry))
+    , m_ownDataCentre(std::move(ownDataCentre))
     , m_handlers(std::move(handlers))
     , m_backoff(ShortestPause, LongestPause)
     , m_downSince(loop.now())
@@ -72,6 +83,9 @@
     m_pending.emplace(id, std::move(done));
     ++m_sentSinceLoad;
     m_connection->send(std::move(frame));
+    if (!isNear()) {
+        probe();
+    }
     return id;
 }
 
@@ -89,9 +103,45 @@
     }
 }
 
+void MeshLink::sendEncoded(std::string_view bytes)
+{
+    if (m_connection) {
+        m_connection->sendEncoded(bytes);
+    }
+}
+
+void MeshLink::probe()
+{
+    if (!m_connection || unansweredSince() || m_loop.now() - m_connection->lastReceived() < QuietTime) {
+        return;
+    }
+    m_askedAt = m_loop.now();
+    m_connection->send(PingFrame{ true });
+}
+
+std::optional<TimePoint> MeshLink::unansweredSince() const
+{
+    return m_connection && m_askedAt > m_connection->lastReceived() ? std::optional(m_askedAt) : std::nullopt;
+}
+
+void MeshLink::vouch(const LoadReport &load)
+{
+    m_vouchedAt = m_loop.now();
+    if (m_connection && m_vouchedAt - m_loadAt > LoadFreshTime) {
+        setLoad(load);
+    }
+}
+
 bool MeshLink::isReachable(TimePoint now, Duration silence) const
 {
-    return m_connection && now - m_connection->lastReceived() <= silence;
+    if (!m_connection) {
+        return false;
+    }
+    if (isNear()) {
+        return now - m_connection->lastReceived() <= silence;
+    }
+    const auto unanswered = unansweredSince();
+    return now - std::max(m_vouchedAt, m_connection->lastReceived()) <= VouchTime && (!unanswered || now - *unanswered <= AnswerTime);
 }
 
 void MeshLink::checkLiveness(TimePoint now)
@@ -99,15 +149,16 @@
     if (!m_connection) {
         return;
     }
-    if (now - m_connection->lastReceived() > DeadSilence) {
+    const TimePoint lastReceived = m_connection->lastReceived();
+    const auto silentSince = isNear() ? std::optional(lastReceived) : unansweredSince();
+    if (silentSince && now - *silentSince > DeadSilence) {
         Log.warning("peer_silent", { { "peer", m_entry.node.text() }, { "address", m_entry.peerAddress.text() } });
         m_connection->close();
         handleLost();
         return;
     }
-    if (now - m_lastPing >= PingInterval) {
-        m_lastPing = now;
-        m_connection->send(PingFrame{});
+    if (!isNear() && (!m_pending.empty() || now - lastReceived >= IdleProbeInterval)) {
+        probe();
     }
 }
 
--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -10,11 +10,18 @@
 
 /**
  * This node's way to another node: dials it, redials when the connection fails or falls silent, and carries calls to its upstream.
+ *
+ * A node of the own data centre sends statuses all the time, so that its silence shows that the link is dead. One of another data centre
+ * sends nothing but replies: it counts as alive while the digests of its data centre list it, and the link is asked for an answer when a
+ * call meets a quiet link.
  */
 class MeshLink : public std::enable_shared_from_this<MeshLink>
 {
 public:
-    /** A connection without a byte for this long is given up; the other side sends a status at least twice in that time. */
+    /**
+     * A connection without a byte for this long, although one was due, is given up. In the own data centre the other side sends a status at
+     * least twice in that time.
+     */
     static constexpr std::chrono::seconds DeadSilence{ 2 };
 
     using ResultHandler = std::function<void(RunReply &&)>;
@@ -28,7 +35,8 @@
         std::function<HelloFrame()> hello;
     };
 
-    MeshLink(EventLoop &loop, DirectoryEntry entry, Handlers handlers);
+    /** @param ownDataCentre that of this node */
+    MeshLink(EventLoop &loop, DirectoryEntry entry, DataCentreName ownDataCentre, Handlers handlers);
 
     /** Starts to dial, and goes on until stop(). */
     void start();
@@ -44,10 +52,23 @@
     /** The result isn't wanted any more; the handler is not called. */
     void cancel(std::uint64_t call);
     void send(const MeshFrame &frame);
+    /** Sends a frame that appendFrame() has encoded. */
+    void sendEncoded(std::string_view bytes);
+    /** Asks the other node for a byte if the link is quiet. */
+    void probe();
 
-    /** Connected, and heard from lately. @param silence longest time without a byte */
+    /** Connected, and the other node is alive. @param silence longest time without a byte from a node of the own data centre */
     bool isReachable(TimePoint now, Duration silence) const;
 
+    /** The node is of the same data centre as this one. */
+    bool isNear() const
+    {
+        return m_entry.dataCentre == m_ownDataCentre;
+    }
+
+    /** A digest of the other node's data centre lists it, with this load. */
+    void vouch(const LoadReport &load);
+
     const DirectoryEntry &entry() const
     {
         return m_entry;
@@ -77,9 +98,16 @@
         return m_followsStore;
     }
 
-    void setFollowsStore(bool follows)
+    /** The other node can speak for its data centre, by its last status. */
+    bool isSettled() const
+    {
+        return m_settled;
+    }
+
+    void setDuties(bool followsStore, bool settled)
     {
-        m_followsStore = follows;
+        m_followsStore = followsStore;
+        m_settled = settled;
     }
 
     std::uint32_t sentSinceLoad() const
@@ -106,22 +134,28 @@
     void handleFrame(MeshFrame &&frame);
     void handleLost();
     void failPending(RunOutcome outcome);
+    /** Since when an answer is missing that was asked for; nothing if none is. */
+    std::optional<TimePoint> unansweredSince() const;
 
     EventLoop &m_loop;
     DirectoryEntry m_entry;
+    DataCentreName m_ownDataCentre;
     Handlers m_handlers;
     std::shared_ptr<MeshConnection> m_connection;
     bool m_stopped = false;
     bool m_dialling = false;
     Backoff m_backoff;
     std::optional<TimePoint> m_downSince;
-    TimePoint m_lastPing{};
+    TimePoint m_askedAt{};
+    /** When a digest last listed the node. */
+    TimePoint m_vouchedAt{};
     std::uint64_t m_nextCall = 0;
     std::unordered_map<std::uint64_t, ResultHandler> m_pending;
     LoadReport m_load;
     TimePoint m_loadAt{};
     std::uint32_t m_sentSinceLoad = 0;
     bool m_followsStore = false;
+    bool m_settled = false;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -215,9 +215,11 @@
 };
 
 /**
- * What a node tells those that connected to it, several times a second. The first one of a connection holds all accounts and services,
- * with the state of their buckets; the others only those with demand. Names are sent once a connection: repeated in each status, they were
- * most of the bytes between the data centres of a large fleet.
+ * What a node tells the nodes of its data centre several times a second. The first one of a connection holds all accounts and services,
+ * with the state of their buckets; the others only those with demand. Names are sent once a connection.
+ *
+ * Nodes of other data centres get only the load, the versions and the crashes, when a connection opens and when the upstream's state
+ * changes; the rest reaches them in digests.
  */
 struct StatusFrame {
     /** Names of accounts and services that the sender numbers from now on. */
@@ -227,6 +229,8 @@
     std::uint64_t rulesVersion = 0;
     /** The store answers the sender, so that it can follow the store for others. */
     bool followsStore = false;
+    /** The sender has heard the others for long enough to speak for its data centre. */
+    bool settled = false;
     LoadReport load;
     std::vector<AccountDemand> demand;
     std::vector<TreeDemand> trees;
@@ -236,7 +240,48 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(names, firstName, rulesVersion, followsStore, load, demand, trees, repeats, crashes);
+        archive(names, firstName, rulesVersion, followsStore, settled, load, demand, trees, repeats, crashes);
+    }
+};
+
+/** Load of one node in a digest. */
+struct MemberLoad {
+    /** Text of the address under which the directory holds the node. */
+    std::string peer;
+    LoadReport load;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(peer, load);
+    }
+};
+
+/**
+ * What the nodes of a data centre do together. One node of the data centre, its relay, sends it to one node of each other data centre,
+ * which passes it on there, so that bytes between data centres grow with their number and not with the square of the nodes.
+ */
+struct DigestFrame {
+    DataCentreName dataCentre;
+    /** Address of the relay, as in MemberLoad. */
+    std::string relay;
+    /** Start of the relay's process. */
+    std::uint64_t incarnation = 0;
+    /** Grows with each digest of the process. */
+    std::uint64_t sequence = 0;
+    /** The receiver passes the digest on to the nodes of its data centre. */
+    bool passOn = false;
+    /** Nodes whose sums it holds. */
+    std::uint32_t nodes = 0;
+    /** Those that the relay hears. */
+    std::vector<MemberLoad> members;
+    /** Sums over the nodes, with all names that they use. The load is not used. */
+    StatusFrame sums;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(dataCentre, relay, incarnation, sequence, passOn, nodes, members, sums);
     }
 };
 
@@ -269,15 +314,26 @@
     }
 };
 
-/** Shows the other side that the connection is alive. */
+/** Asks whether the connection is alive, or says so. */
 struct PingFrame {
+    bool wantsAnswer = false;
+
     template <typename Archive>
-    void serialize(Archive & /*archive*/)
+    void serialize(Archive &archive)
     {
+        archive(wantsAnswer);
     }
 };
 
-using MeshFrame =
-    std::variant<HelloFrame, RunFrame, CancelFrame, RunReplyFrame, StatusFrame, RulesRequestFrame, RulesFrame, PingFrame, DirectoryFrame>;
+using MeshFrame = std::variant<HelloFrame,
+                               RunFrame,
+                               CancelFrame,
+                               RunReplyFrame,
+                               StatusFrame,
+                               RulesRequestFrame,
+                               RulesFrame,
+                               PingFrame,
+                               DirectoryFrame,
+                               DigestFrame>;
 
 } // namespace Pimentohollow
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -1,6 +1,7 @@
 #include "mesh/node/meshnode.h"
 
 #include "core/logger.h"
+#include "mesh/messages/meshcodec.h"
 
 #include <algorithm>
 #include <set>
@@ -13,6 +14,8 @@
 {
 
 constexpr std::chrono::milliseconds TickInterval(50);
+/** A process that has heard the others for this long knows what was spent, as AccountAllowance has it. */
+constexpr std::chrono::seconds SettleTime(2);
 /** Nodes of the fleet that follow the store for the others, at least; so many that a cut hardly takes all of them. */
 constexpr std::size_t LeastStoreFollowers = 6;
 /** Those of one data centre, at least: the second one is there if the first fails. */
@@ -128,6 +131,7 @@
                 [this](const std::string &upstream) {
                     m_runner.setDeparted(upstream);
                 } })
+    , m_startedAt(m_loop.clock().now())
 {
 }
 
@@ -213,9 +217,9 @@
     for (auto *it : std::set(m_sessions)) {
         it->abort();
     }
-    for (const auto &[connection, calls] : m_inbound) {
+    for (const auto &[connection, peer] : m_inbound) {
         connection->close();
-        for (const auto &[call, ticket] : calls) {
+        for (const auto &[call, ticket] : peer.calls) {
             m_runner.cancel(ticket);
         }
     }
@@ -273,7 +277,7 @@
             continue;
         }
         UpstreamCandidate candidate;
-        candidate.sameDataCentre = link->entry().dataCentre == m_environment.settings.dataCentre;
+        candidate.sameDataCentre = link->isNear();
         candidate.reachable = link->isReachable(now, suspectSilence());
         candidate.load = link->sentSinceLoad();
         candidate.pending = link->pending();
@@ -284,7 +288,7 @@
 
 Duration MeshNode::statusInterval() const
 {
-    return StatusExchange::intervalFor(m_peers.links().size());
+    return StatusExchange::intervalFor(m_nearPeers);
 }
 
 Duration MeshNode::suspectSilence() const
@@ -300,11 +304,26 @@
     const TimePoint now = m_loop.now();
     return static_cast<std::size_t>(std::count_if(m_peers.links().begin(), m_peers.links().end(), [&](const auto &it) {
         const auto &[key, link] = it;
-        return key < ownKey && link->entry().dataCentre == own.dataCentre && link->followsStore()
-            && link->isReachable(now, suspectSilence());
+        return key < ownKey && link->isNear() && link->followsStore() && link->isReachable(now, suspectSilence());
     }));
 }
 
+bool MeshNode::isSettled() const
+{
+    return !m_closing && m_loop.now() - m_startedAt >= SettleTime;
+}
+
+bool MeshNode::isRelay() const
+{
+    // Settled nodes come first, then the order of the addresses decides.
+    const auto own = std::pair(!isSettled(), ownEntry().peerAddress.text());
+    const TimePoint now = m_loop.now();
+    return std::none_of(m_peers.links().begin(), m_peers.links().end(), [&](const auto &it) {
+        const auto &[key, link] = it;
+        return link->isNear() && std::pair(!link->isSettled(), key) < own && link->isReachable(now, suspectSilence());
+    });
+}
+
 bool MeshNode::followsStore() const
 {
     std::set<DataCentreName> dataCentres{ m_environment.settings.dataCentre };
@@ -322,7 +341,7 @@
         return;
     }
     for (const auto &[key, link] : m_peers.links()) {
-        if (link->entry().dataCentre == m_environment.settings.dataCentre) {
+        if (link->isNear()) {
             link->send(frame);
         }
     }
@@ -330,12 +349,15 @@
 
 void MeshNode::shareBudgets()
 {
-    m_exchange.setFleet(m_peers.nodes(), statusInterval());
-    std::set<NodeName> peers;
+    std::set<NodeName> near;
     for (const auto &[key, link] : m_peers.links()) {
-        peers.insert(link->entry().node);
+        if (link->isNear()) {
+            near.insert(link->entry().node);
+        }
     }
-    m_exchange.keepNamesOf(peers);
+    m_nearPeers = near.size();
+    m_exchange.setFleet(m_peers.nodes(), statusInterval());
+    m_exchange.keepNamesOf(near);
 }
 
 void MeshNode::acceptPeer(std::unique_ptr<AsyncSocket> socket)
@@ -353,18 +375,25 @@
                                                                                      if (found == m_inbound.end()) {
                                                                                          return;
                                                                                      }
-                                                                                     const auto calls = std::move(found->second);
+                                                                                     const auto peer = std::move(found->second);
                                                                                      m_inbound.erase(found);
-                                                                                     for (const auto &[call, ticket] : calls) {
+                                                                                     for (const auto &[call, ticket] : peer.calls) {
                                                                                          m_runner.cancel(ticket);
                                                                                      }
                                                                                  } });
     *holder = connection;
-    m_inbound.emplace(connection, std::map<std::uint64_t, std::uint64_t>());
+    m_inbound.emplace(connection, InboundPeer());
     connection->start();
     connection->send(HelloFrame{ ownEntry() });
+}
+
+void MeshNode::sendFirstStatus(const Inbound &connection, const DataCentreName &dataCentre)
+{
+    m_inbound[connection].dataCentre = dataCentre;
     StatusFrame status = makeStatus();
-    m_exchange.fillFirst(status, m_loop.now());
+    if (dataCentre == m_environment.settings.dataCentre) {
+        m_exchange.fillFirst(status, m_loop.now());
+    }
     connection->send(std::move(status));
 }
 
@@ -373,7 +402,7 @@
     if (auto *run = std::get_if<RunFrame>(&frame)) {
         runForPeer(connection, std::move(*run));
     } else if (const auto *cancel = std::get_if<CancelFrame>(&frame)) {
-        auto &calls = m_inbound[connection];
+        auto &calls = m_inbound[connection].calls;
         const auto found = calls.find(cancel->call);
         if (found != calls.end()) {
             m_runner.cancel(found->second);
@@ -381,6 +410,13 @@
         }
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
         m_peers.add(hello->sender, false);
+        sendFirstStatus(connection, hello->sender.dataCentre);
+    } else if (const auto *ping = std::get_if<PingFrame>(&frame)) {
+        if (ping->wantsAnswer) {
+            connection->send(PingFrame{});
+        }
+    } else if (auto *digest = std::get_if<DigestFrame>(&frame)) {
+        handleDigest(std::move(*digest));
     } else if (const auto *rules = std::get_if<RulesFrame>(&frame)) {
         m_rules.apply(rules->rules, "passed_on");
     } else if (const auto *directory = std::get_if<DirectoryFrame>(&frame)) {
@@ -402,10 +438,10 @@
         if (found == m_inbound.end()) {
             return;
         }
-        found->second.erase(call);
+        found->second.calls.erase(call);
         open->send(RunReplyFrame{ call, std::move(result), m_runner.load() });
     });
-    m_inbound[connection][call] = ticket;
+    m_inbound[connection].calls[call] = ticket;
 }
 
 void MeshNode::handlePeerFrame(MeshLink &link, MeshFrame &&frame)
@@ -423,39 +459,120 @@
 
 void MeshNode::handleStatus(MeshLink &link, const StatusFrame &status)
 {
-    const TimePoint now = m_loop.now();
     link.setLoad(status.load);
-    link.setFollowsStore(status.followsStore);
-    m_exchange.take(link.entry().node, status, now);
-    if (m_rules.shouldAsk(status.rulesVersion, link.entry().dataCentre == m_environment.settings.dataCentre)) {
+    link.setDuties(status.followsStore, status.settled);
+    if (link.isNear()) {
+        m_exchange.take(link.entry().node, status, m_loop.now());
+    } else {
+        m_exchange.takeCrashes(status);
+    }
+    if (m_rules.shouldAsk(status.rulesVersion, link.isNear())) {
         link.send(RulesRequestFrame{});
     }
 }
 
+void MeshNode::handleDigest(DigestFrame &&digest)
+{
+    if (std::exchange(digest.passOn, false)) {
+        std::string bytes;
+        appendFrame(bytes, digest);
+        for (const auto &[key, link] : m_peers.links()) {
+            if (link->isNear()) {
+                link->sendEncoded(bytes);
+            }
+        }
+    }
+    if (digest.dataCentre == m_environment.settings.dataCentre || !m_exchange.takeDigest(digest, m_loop.now())) {
+        return;
+    }
+    const auto &links = m_peers.links();
+    for (const auto &it : digest.members) {
+        const auto found = links.find(it.peer);
+        if (found != links.end() && found->second->entry().dataCentre == digest.dataCentre) {
+            found->second->vouch(it.load);
+        }
+    }
+    if (digest.members.empty() || !m_rules.shouldAsk(digest.sums.rulesVersion, false)) {
+        return;
+    }
+    // Any of them: if all nodes asked the relay, it would send a large configuration to all at once.
+    const auto found = links.find(digest.members[m_random.below(digest.members.size())].peer);
+    if (found != links.end()) {
+        found->second->send(RulesRequestFrame{});
+    }
+}
+
 StatusFrame MeshNode::makeStatus()
 {
     StatusFrame status;
     status.rulesVersion = rulesVersion();
     status.followsStore = m_rules.storeAnswers() && !m_closing;
+    status.settled = isSettled();
     status.load = m_runner.load();
     return status;
 }
 
-void MeshNode::sendStatus()
+void MeshNode::sendStatus(bool everywhere)
 {
     const TimePoint now = m_loop.now();
     m_lastStatus = now;
     StatusFrame status = makeStatus();
+    StatusFrame brief = status;
     m_exchange.fillRegular(status, now);
-    const MeshFrame frame = std::move(status);
-    for (const auto &[connection, calls] : m_inbound) {
-        connection->send(frame);
+    brief.crashes = status.crashes;
+    const bool sendsBrief = everywhere || !brief.crashes.empty();
+    std::string bytes;
+    std::string briefBytes;
+    appendFrame(bytes, std::move(status));
+    appendFrame(briefBytes, std::move(brief));
+    std::uint64_t nearFrames = 0;
+    std::uint64_t farFrames = 0;
+    for (const auto &[connection, peer] : m_inbound) {
+        if (peer.dataCentre == m_environment.settings.dataCentre) {
+            connection->sendEncoded(bytes);
+            ++nearFrames;
+        } else if (peer.dataCentre && sendsBrief) {
+            connection->sendEncoded(briefBytes);
+            ++farFrames;
+        }
+    }
+    auto &metrics = m_environment.metrics;
+    metrics.counter("pimentohollow_statuses_sent_total", { { "to", "own_data_centre" } }).add(nearFrames);
+    metrics.counter("pimentohollow_statuses_sent_total", { { "to", "other_data_centres" } }).add(farFrames);
+}
+
+void MeshNode::sendDigest()
+{
+    const TimePoint now = m_loop.now();
+    m_lastDigest = now;
+    const auto own = ownEntry();
+    DigestFrame digest{ own.dataCentre, own.peerAddress.text(), m_incarnation, ++m_digests, true, 0, {}, {} };
+    digest.sums.rulesVersion = rulesVersion();
+    digest.members.push_back({ digest.relay, m_runner.load() });
+    std::map<DataCentreName, std::shared_ptr<MeshLink>> receivers;
+    for (const auto &[key, link] : m_peers.links()) {
+        if (!link->isReachable(now, suspectSilence())) {
+            continue;
+        }
+        if (link->isNear()) {
+            digest.members.push_back({ key, link->load() });
+        } else {
+            receivers.try_emplace(link->entry().dataCentre, link);
+        }
     }
+    m_exchange.fillDigest(digest, now);
+    std::string bytes;
+    appendFrame(bytes, std::move(digest));
+    for (const auto &[dataCentre, link] : receivers) {
+        link->sendEncoded(bytes);
+        link->probe();
+    }
+    m_environment.metrics.counter("pimentohollow_digests_sent_total").add(receivers.size());
 }
 
 void MeshNode::upstreamChanged()
 {
-    sendStatus();
+    sendStatus(true);
     if (!m_runner.departed().empty()) {
         m_peers.publish();
     }
@@ -468,7 +585,10 @@
         const TimePoint now = m_loop.now();
         m_runner.tick();
         if (now - m_lastStatus >= statusInterval() || m_exchange.isUrgent()) {
-            sendStatus();
+            sendStatus(false);
+        }
+        if ((now - m_lastDigest >= statusInterval() || m_exchange.isDigestUrgent()) && isRelay()) {
+            sendDigest();
         }
         m_peers.tick(now);
         if (now - m_lastAdjust >= TreeAdmission::AdjustInterval) {
@@ -512,7 +632,7 @@
     constexpr std::chrono::milliseconds CheckInterval(20);
     m_loop.sleepUntil(m_closingSince + LastRunsTime);
     m_runner.close();
-    sendStatus();
+    sendStatus(true);
     m_loop.sleepUntil(m_closingSince + LeastShutDownTime);
     // New callers find no listener and go to another node at once; a request that crosses the close of an idle connection was not read.
     m_callers.close();
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -83,8 +83,17 @@
 private:
     using Inbound = std::shared_ptr<MeshConnection>;
 
+    /** The other end of a connection that another node made. */
+    struct InboundPeer {
+        /** Tickets of its calls. */
+        std::map<std::uint64_t, std::uint64_t> calls;
+        /** Nothing until it has sent its hello. */
+        std::optional<DataCentreName> dataCentre;
+    };
+
     DirectoryEntry ownEntry() const;
     std::vector<UpstreamWay> ways(const ServiceName &service) const;
+    /** Time between the statuses, and between the digests, of a node. */
     Duration statusInterval() const;
     Duration suspectSilence() const;
 
@@ -94,6 +103,10 @@
     bool followsStore() const;
     /** Sends the frame to the nodes of the own data centre, if this node is the first of those that follow the store. */
     void passOn(const MeshFrame &frame);
+    /** This node sends the digests of its data centre to the others. */
+    bool isRelay() const;
+    /** This process has heard the others for long enough to know what was spent. */
+    bool isSettled() const;
     /** Divides what the fleet may spend by the number of its nodes. */
     void shareBudgets();
 
@@ -103,7 +116,11 @@
     void handleStatus(MeshLink &link, const StatusFrame &status);
     void handlePeerFrame(MeshLink &link, MeshFrame &&frame);
     StatusFrame makeStatus();
-    void sendStatus();
+    /** @param everywhere to the nodes of other data centres as well */
+    void sendStatus(bool everywhere);
+    void sendFirstStatus(const Inbound &connection, const DataCentreName &dataCentre);
+    void sendDigest();
+    void handleDigest(DigestFrame &&digest);
     void upstreamChanged();
 
     void tick();
@@ -128,9 +145,14 @@
     RulesFollower m_rules;
     PeerDirectory m_peers;
 
-    /** Connections that other nodes made, with the tickets of their calls. */
-    std::map<Inbound, std::map<std::uint64_t, std::uint64_t>> m_inbound;
+    /** Connections that other nodes made. */
+    std::map<Inbound, InboundPeer> m_inbound;
+    TimePoint m_startedAt;
+    /** Known nodes of the own data centre, without this one. */
+    std::size_t m_nearPeers = 0;
     TimePoint m_lastStatus{};
+    TimePoint m_lastDigest{};
+    std::uint64_t m_digests = 0;
     TimePoint m_lastAdjust{};
     bool m_closing = false;
     TimePoint m_closingSince{};
--- a/modules/mesh/node/statusexchange.cpp
+++ b/modules/mesh/node/statusexchange.cpp
@@ -1,7 +1,6 @@
 #include "mesh/node/statusexchange.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <utility>
 
@@ -13,10 +12,12 @@
 
 /** Interval of a small fleet. */
 constexpr std::chrono::milliseconds ShortestInterval(250);
-/** Frames that a node sends per second in a medium fleet: the interval grows with the fleet, so that the cost of a node doesn't. */
+/** Frames that a node sends per second in a data centre of medium size: the interval grows with it, so that the cost of a node doesn't. */
 constexpr std::size_t FramesPerSecond = 80;
 /** Less than half of the silence after which MeshLink gives a connection up, so that one late frame doesn't cost it. */
 constexpr std::chrono::milliseconds LongestInterval(900);
+/** A relay that wasn't heard for so many intervals is replaced by another one that sends digests. */
+constexpr int RelaySilentIntervals = 2;
 /** Names that are kept of another node: far more accounts and services than a fleet has. */
 constexpr std::size_t MostNames = 100'000;
 /** Rates and tokens travel in tenths, slots in thousandths. */
@@ -66,6 +67,7 @@
 
 void StatusExchange::setFleet(std::size_t nodes, Duration interval)
 {
+    m_interval = interval;
     m_accounts.setNodes(nodes);
     m_accounts.setReportInterval(interval);
     m_repeats.setNodes(nodes);
@@ -81,32 +83,46 @@
 
 void StatusExchange::fillRegular(StatusFrame &status, TimePoint now)
 {
-    fill(status, m_accounts.takeReport(now), m_repeats.takeReport(now));
-    fillTrees(status);
+    fill(status, m_names, m_accounts.takeReport(now), m_repeats.takeReport(now), m_trees.demand());
     status.crashes = m_crashes.takeReports();
     status.names = m_names.takeNew(status.firstName);
 }
 
 void StatusExchange::fillFirst(StatusFrame &status, TimePoint now)
 {
-    fill(status, m_accounts.snapshot(now), m_repeats.snapshot(now));
-    fillTrees(status);
+    fill(status, m_names, m_accounts.snapshot(now), m_repeats.snapshot(now), m_trees.demand());
     status.names = m_names.names();
 }
 
-void StatusExchange::fill(StatusFrame &status, const std::vector<AccountSpending> &spending, const std::vector<ServiceRepeats> &repeats)
+void StatusExchange::fillDigest(DigestFrame &digest, TimePoint now)
+{
+    NameList names;
+    digest.nodes = static_cast<std::uint32_t>(m_accounts.heardInDataCentre(now));
+    fill(digest.sums, names, m_accounts.dataCentreReport(now), m_repeats.dataCentreReport(now), m_trees.dataCentreDemand(now));
+    digest.sums.names = names.names();
+}
+
+void StatusExchange::fill(StatusFrame &status,
+                          NameList &names,
+                          const std::vector<AccountSpending> &spending,
+                          const std::vector<ServiceRepeats> &repeats,
+                          const TreeDemands &trees)
 {
     status.demand.reserve(spending.size());
     for (const auto &it : spending) {
-        status.demand.push_back({ m_names.number(it.account.text()), encodeTenths(it.demand), it.admitted, encodeMissing(it.missing) });
+        status.demand.push_back({ names.number(it.account.text()), encodeTenths(it.demand), it.admitted, encodeMissing(it.missing) });
     }
     status.repeats.reserve(repeats.size());
     for (const auto &it : repeats) {
-        status.repeats.push_back({ m_names.number(it.service.text()),
-                                   encodeTenths(it.requests),
-                                   encodeTenths(it.demand),
-                                   it.repeats,
-                                   encodeMissing(it.missing) });
+        status.repeats.push_back(
+            { names.number(it.service.text()), encodeTenths(it.requests), encodeTenths(it.demand), it.repeats, encodeMissing(it.missing) });
+    }
+    for (const auto &[service, ranks] : trees) {
+        TreeDemand demand{ names.number(service.text()), {} };
+        for (const double it : ranks) {
+            demand.milliSlots.push_back(static_cast<std::uint32_t>(it * Milli));
+        }
+        status.trees.push_back(std::move(demand));
     }
 }
 
@@ -115,6 +131,11 @@
     return m_accounts.reportIsUrgent() || m_repeats.reportIsUrgent();
 }
 
+bool StatusExchange::isDigestUrgent() const
+{
+    return m_accounts.dataCentreReportIsUrgent() || m_repeats.dataCentreReportIsUrgent();
+}
+
 void StatusExchange::take(const NodeName &sender, const StatusFrame &status, TimePoint now)
 {
     auto &names = m_peerNames[sender];
@@ -125,6 +146,47 @@
     for (std::size_t n = status.firstName; n < end; ++n) {
         names[n] = status.names[n - status.firstName];
     }
+    takeReports({ sender }, names, status, now);
+    takeCrashes(status);
+}
+
+bool StatusExchange::takeDigest(const DigestFrame &digest, TimePoint now)
+{
+    const auto [entry, added] = m_sources.try_emplace(digest.dataCentre);
+    auto &source = entry->second;
+    const bool sameSource = !added && source.relay == digest.relay && source.incarnation == digest.incarnation;
+    if (sameSource ? digest.sequence <= source.sequence : !added && now - source.heardAt <= m_interval * RelaySilentIntervals) {
+        return false;
+    }
+    if (!sameSource && !added) {
+        forgetReporter(source.reporter());
+    }
+    source = { digest.relay, digest.incarnation, digest.sequence, now };
+    takeReports({ source.reporter(), digest.nodes, false }, digest.sums.names, digest.sums, now);
+    return true;
+}
+
+NodeName StatusExchange::Source::reporter() const
+{
+    return NodeName("relay " + relay + " " + std::to_string(incarnation));
+}
+
+void StatusExchange::forgetReporter(const NodeName &name)
+{
+    m_accounts.forgetReporter(name);
+    m_repeats.forgetReporter(name);
+    m_trees.forgetReporter(name);
+}
+
+void StatusExchange::takeCrashes(const StatusFrame &status)
+{
+    for (const auto &it : status.crashes) {
+        m_crashes.merge(it);
+    }
+}
+
+void StatusExchange::takeReports(const Reporter &reporter, const std::vector<std::string> &names, const StatusFrame &status, TimePoint now)
+{
     std::vector<AccountSpending> spending;
     spending.reserve(status.demand.size());
     for (const auto &it : status.demand) {
@@ -132,7 +194,7 @@
             spending.push_back({ AccountName(*name), it.deciRate / Tenths, it.admitted, decodeMissing(it.deciMissing) });
         }
     }
-    m_accounts.reported(sender, spending, now);
+    m_accounts.reported(reporter, spending, now);
     std::vector<ServiceRepeats> repeats;
     repeats.reserve(status.repeats.size());
     for (const auto &it : status.repeats) {
@@ -141,8 +203,8 @@
                 { ServiceName(*name), it.deciRequests / Tenths, it.deciDemand / Tenths, it.repeats, decodeMissing(it.deciMissing) });
         }
     }
-    m_repeats.reported(sender, repeats, now);
-    std::map<ServiceName, RankDemand> trees;
+    m_repeats.reported(reporter, repeats, now);
+    TreeDemands trees;
     for (const auto &it : status.trees) {
         const auto *name = nameOf(names, it.service);
         if (name == nullptr) {
@@ -153,10 +215,7 @@
             ranks.at(n) = it.milliSlots[n] / Milli;
         }
     }
-    m_trees.reported(sender, trees, now);
-    for (const auto &it : status.crashes) {
-        m_crashes.merge(it);
-    }
+    m_trees.reported(reporter, trees, now);
 }
 
 void StatusExchange::keepNamesOf(const std::set<NodeName> &nodes)
@@ -166,15 +225,4 @@
     });
 }
 
-void StatusExchange::fillTrees(StatusFrame &status)
-{
-    for (const auto &[service, ranks] : m_trees.demand()) {
-        TreeDemand demand{ m_names.number(service.text()), {} };
-        for (const double it : ranks) {
-            demand.milliSlots.push_back(static_cast<std::uint32_t>(it * Milli));
-        }
-        status.trees.push_back(std::move(demand));
-    }
-}
-
 } // namespace Pimentohollow
--- a/modules/mesh/node/statusexchange.h
+++ b/modules/mesh/node/statusexchange.h
@@ -6,6 +6,7 @@
 #include "mesh/messages/meshframes.h"
 #include "mesh/node/namelist.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -14,7 +15,10 @@
 namespace Pimentohollow
 {
 
-/** Turns what the decisions of this node report into status frames, and those of other nodes into reports for its own decisions. */
+/**
+ * Turns what the decisions of this node report into status frames and digests, and those of other nodes into reports for its own
+ * decisions.
+ */
 class StatusExchange
 {
 public:
@@ -35,14 +39,44 @@
     /** So much was spent since the last regular frame that the others should know at once. */
     bool isUrgent() const;
 
+    /** Adds what the nodes of the own data centre do together. */
+    void fillDigest(DigestFrame &digest, TimePoint now);
+    /** The own data centre has spent so much since the last digest that the others should know at once. */
+    bool isDigestUrgent() const;
+    /**
+     * Takes what another data centre does; false if the digest is not used: it is not newer than the last one, or comes from a second node
+     * that takes itself for the relay, while the first one is heard.
+     */
+    bool takeDigest(const DigestFrame &digest, TimePoint now);
+    /** Takes only what a node of another data centre tells directly. */
+    void takeCrashes(const StatusFrame &status);
+
     /** Parts of the frame whose names are unknown are left out. */
     void take(const NodeName &sender, const StatusFrame &status, TimePoint now);
     /** Drops the names of all nodes but these. */
     void keepNamesOf(const std::set<NodeName> &nodes);
 
 private:
-    void fill(StatusFrame &status, const std::vector<AccountSpending> &spending, const std::vector<ServiceRepeats> &repeats);
-    void fillTrees(StatusFrame &status);
+    /** The relay whose digests of a data centre are used. */
+    struct Source {
+        std::string relay;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        TimePoint heardAt{};
+
+        NodeName reporter() const;
+    };
+
+    using TreeDemands = std::map<ServiceName, RankDemand>;
+
+    static void fill(StatusFrame &status,
+                     NameList &names,
+                     const std::vector<AccountSpending> &spending,
+                     const std::vector<ServiceRepeats> &repeats,
+                     const TreeDemands &trees);
+    /** @param names those of the sender, by number */
+    void takeReports(const Reporter &reporter, const std::vector<std::string> &names, const StatusFrame &status, TimePoint now);
+    void forgetReporter(const NodeName &name);
 
     AccountAllowance &m_accounts;
     RepeatBudget &m_repeats;
@@ -51,6 +85,8 @@
     NameList m_names;
     /** Names of the other nodes, by number. */
     std::unordered_map<NodeName, std::vector<std::string>> m_peerNames;
+    std::map<DataCentreName, Source> m_sources;
+    Duration m_interval{};
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/tests/accountallowancetest.cpp
+++ b/modules/mesh/tests/accountallowancetest.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <deque>
 #include <gtest/gtest.h>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,8 @@
     std::size_t restartedNodes = 1;
     Duration reportInterval = 250ms;
     std::size_t nodes = 16;
+    /** Nodes report to those of their data centre; relays report to the others. */
+    std::size_t dataCentres = 1;
 };
 
 class AccountAllowanceTest : public ::testing::TestWithParam<DemandCase>
@@ -63,10 +67,22 @@
     std::vector<AccountAllowance> nodes(count, AccountAllowance(start));
     std::vector<Duration> lastReport(count);
     std::vector<TimePoint> connectedAt(count);
+    std::vector<Duration> lastDigest(demand.dataCentres);
+    /** The reporter of each data centre that each node has heard last. */
+    std::vector<std::map<std::size_t, Reporter>> relays(count);
     struct Report {
         TimePoint due{};
         std::size_t from = 0;
         std::vector<AccountSpending> spending;
+        /** Nodes that a relay reports; 0 in the report of a node. */
+        std::size_t relayed = 0;
+        TimePoint relayStart{};
+    };
+    const auto dataCentreOf = [&](std::size_t n) {
+        return n * demand.dataCentres / count;
+    };
+    const auto hears = [&](std::size_t n, const Report &report) {
+        return (report.relayed > 0) != (dataCentreOf(n) == dataCentreOf(report.from));
     };
     std::deque<Report> reports;
     Random random(11);
@@ -87,9 +103,23 @@
             reports.pop_front();
             for (std::size_t n = 0; n < count; ++n) {
                 const bool cut = second && (n < demand.cutNodes) != (report.from < demand.cutNodes);
-                if (n != report.from && !cut && now >= connectedAt.at(n)) {
-                    nodes.at(n).reported(NodeName(std::to_string(report.from)), report.spending, now);
+                if (n == report.from || cut || now < connectedAt.at(n) || !hears(n, report)) {
+                    continue;
+                }
+                if (report.relayed == 0) {
+                    nodes.at(n).reported({ NodeName(std::to_string(report.from)) }, report.spending, now);
+                    continue;
                 }
+                const Reporter reporter{ NodeName(std::to_string(report.from) + " since "
+                                                  + std::to_string(report.relayStart.time_since_epoch().count())),
+                                         report.relayed,
+                                         false };
+                const auto [known, added] = relays.at(n).try_emplace(dataCentreOf(report.from), reporter);
+                if (!(known->second.name == reporter.name)) {
+                    nodes.at(n).forgetReporter(known->second.name);
+                    known->second = reporter;
+                }
+                nodes.at(n).reported(reporter, report.spending, now);
             }
         }
         if (demand.restartInterval > Duration::zero() && elapsed >= restartAt) {
@@ -100,6 +130,7 @@
                 node.setNodes(count);
                 node.setReportInterval(demand.reportInterval);
                 connectedAt.at(nextRestart) = now + ConnectTime;
+                relays.at(nextRestart).clear();
                 nextRestart = (nextRestart + 1) % count;
             }
         }
@@ -108,10 +139,10 @@
                 continue;
             }
             for (std::size_t other = 0; other < count; ++other) {
-                if (other != n) {
+                if (other != n && dataCentreOf(other) == dataCentreOf(n)) {
                     // The restarted node has heard some others before it is heard by the next one.
-                    nodes.at(n).reported(NodeName(std::to_string(other)), nodes.at(other).snapshot(now), now);
-                    nodes.at(other).reported(NodeName(std::to_string(n)), nodes.at(n).snapshot(now), now);
+                    nodes.at(n).reported({ NodeName(std::to_string(other)) }, nodes.at(other).snapshot(now), now);
+                    nodes.at(other).reported({ NodeName(std::to_string(n)) }, nodes.at(n).snapshot(now), now);
                 }
             }
         }
@@ -124,6 +155,24 @@
                 reports.push_back({ now + ReportDelay, n, nodes.at(n).takeReport(now) });
             }
         }
+        for (std::size_t place = 0; demand.dataCentres > 1 && place < demand.dataCentres; ++place) {
+            std::optional<std::size_t> relay;
+            for (std::size_t n = 0; n < count; ++n) {
+                constexpr Duration SettleTime = 2s;
+                const bool settled = now - connectedAt.at(n) >= SettleTime;
+                const bool better = !relay || (settled && now - connectedAt.at(*relay) < SettleTime);
+                relay = dataCentreOf(n) == place && now >= connectedAt.at(n) && better ? std::optional(n) : relay;
+            }
+            if (!relay) {
+                continue;
+            }
+            auto &node = nodes.at(*relay);
+            if (elapsed - lastDigest.at(place) >= demand.reportInterval || node.dataCentreReportIsUrgent()) {
+                lastDigest.at(place) = elapsed;
+                const std::size_t heard = node.heardInDataCentre(now);
+                reports.push_back({ now + ReportDelay, *relay, node.dataCentreReport(now), heard, connectedAt.at(*relay) });
+            }
+        }
         bucket = std::min(Limit.burst, bucket + Limit.ratePerSecond * std::chrono::duration<double>(Step).count());
         const double expected = (second ? demand.after : demand.before) * std::chrono::duration<double>(Step).count();
         for (int n = 0; n < std::ceil(expected); ++n) {
@@ -187,7 +236,23 @@
                                            DemandCase{ "LargeFleetAndHot", 95, 700, 0, 0, 0.9, 0ms, 1, 900ms, 86 },
                                            DemandCase{ "LargeFleetAndVeryHot", 70, 1100, 0, 0, 0.9, 0ms, 1, 900ms, 86 },
                                            DemandCase{ "LargeFleetCutAndHot", 95, 600, 0, 21, 0.9, 0ms, 1, 900ms, 86 },
-                                           DemandCase{ "LargeFleetSkewed", 90, 90, 0.9, 0, 0.98, 0ms, 1, 900ms, 86 }),
+                                           DemandCase{ "LargeFleetSkewed", 90, 90, 0.9, 0, 0.98, 0ms, 1, 900ms, 86 },
+                                           // Several data centres: the sums of relays in place of reports of each node.
+                                           DemandCase{ "RelayedWithinTheRate", 90, 90, 0, 0, 0.995, 0ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedAtTheRate", 140, 140, 0, 0, 0.97, 0ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedSevenfoldSuddenly", 95, 700, 0, 0, 0.95, 0ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedSkewed", 90, 90, 0.9, 0, 0.995, 0ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedSkewedAndHot", 95, 600, 0.9, 0, 0.9, 0ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedCutAndHot", 95, 600, 0, 4, 0.9, 0ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedCutAndVeryHot", 70, 1100, 0, 8, 0.9, 0ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedCutWithinTheRate", 90, 90, 0, 4, 0.95, 0ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedRestartsWithinTheRate", 90, 90, 0, 0, 0.97, 1200ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedRestartsAndHot", 95, 600, 0, 0, 0.9, 300ms, 1, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedRestartsOfManyAndHot", 95, 600, 0, 0, 0.8, 1500ms, 8, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedRestartsOfAllAndHot", 95, 600, 0, 0, 0.8, 2500ms, 16, 250ms, 16, 4 },
+                                           DemandCase{ "RelayedLargeAndVeryHot", 70, 1100, 0, 0, 0.9, 0ms, 1, 250ms, 96, 6 },
+                                           DemandCase{ "RelayedLargeCutAndHot", 95, 600, 0, 16, 0.9, 0ms, 1, 250ms, 96, 6 },
+                                           DemandCase{ "RelayedVeryLargeAndHot", 95, 700, 0, 0, 0.9, 0ms, 1, 600ms, 300, 6 }),
                          [](const auto &it) {
                              return std::string(it.param.name);
                          });
--- a/modules/mesh/tests/repeatbudgettest.cpp
+++ b/modules/mesh/tests/repeatbudgettest.cpp
@@ -43,7 +43,7 @@
             m_reports.pop_front();
             for (std::size_t n = 0; n < nodes.size(); ++n) {
                 if (n != report.from) {
-                    nodes[n].reported(NodeName(std::to_string(report.from)), report.services, now);
+                    nodes[n].reported({ NodeName(std::to_string(report.from)) }, report.services, now);
                 }
             }
         }
@@ -189,7 +189,7 @@
     const TimePoint now{ 1h + 5min };
     // Another node makes all calls to it: 100 per second leave room for 15 repeats per second.
     budget.setNodes(2);
-    budget.reported(NodeName("other"), { { reminders, 100, 0, 0 } }, now);
+    budget.reported({ NodeName("other") }, { { reminders, 100, 0, 0 } }, now);
     budget.recordRequest(Orders, now);
     EXPECT_TRUE(budget.tryRepeat(Orders, 0, { { Orders, 1 }, { reminders, 8 } }, now));
     EXPECT_FALSE(budget.tryRepeat(Orders, 0, { { Orders, 1 }, { reminders, 80 } }, now));
--- a/modules/mesh/tests/statusexchangetest.cpp
+++ b/modules/mesh/tests/statusexchangetest.cpp
@@ -55,6 +55,26 @@
         other.exchange.take(NodeName(ownName), first, now);
     }
 
+    /** A digest as the relay of a data centre sends it. */
+    DigestFrame digest(const char *relay, std::uint64_t sequence, TimePoint now)
+    {
+        DigestFrame frame;
+        frame.dataCentre = DataCentreName("vienna");
+        frame.relay = relay;
+        frame.incarnation = 1;
+        frame.sequence = sequence;
+        exchange.fillDigest(frame, now);
+        return frame;
+    }
+
+    /** Sends a regular status. */
+    void tell(const char *ownName, ExchangingNode &other, TimePoint now)
+    {
+        StatusFrame regular;
+        exchange.fillRegular(regular, now);
+        other.exchange.take(NodeName(ownName), regular, now);
+    }
+
     ManualClock clock;
     AccountAllowance accounts;
     RepeatBudget repeats;
@@ -158,6 +178,56 @@
     receiver.exchange.take(sender, unknown, now);
 }
 
+/** Guards against spending in one data centre that the others don't learn of, although no node tells them directly. */
+TEST(StatusExchangeTest, DigestTellsWhatADataCentreSpent)
+{
+    const TimePoint now{ 1h };
+    ExchangingNode relay(now - 1min);
+    ExchangingNode member(now - 1min);
+    ExchangingNode elsewhere(now - 1min);
+    member.tellFirst("member", relay, now);
+    EXPECT_TRUE(elsewhere.exchange.takeDigest(relay.digest("relay", 1, now), now));
+    EXPECT_GE(elsewhere.accounts.available(Florists, Limit, now), Limit.burst * 0.9);
+
+    member.spendAll(now);
+    member.repeatAll(now);
+    member.tell("member", relay, now);
+    const auto digest = relay.digest("relay", 2, now);
+    EXPECT_EQ(digest.nodes, 2U);
+    EXPECT_TRUE(elsewhere.exchange.takeDigest(digest, now));
+    EXPECT_LT(elsewhere.accounts.available(Florists, Limit, now), Limit.burst * 0.1);
+    EXPECT_LE(elsewhere.repeatAll(now), 1U);
+}
+
+/** Guards against digests that are taken twice or in the wrong order, and against the sums of two nodes that both take themselves for the
+ * relay. */
+TEST(StatusExchangeTest, OneRelayOfADataCentreIsHeard)
+{
+    const TimePoint now{ 1h };
+    ExchangingNode relay(now - 1min);
+    ExchangingNode second(now - 1min);
+    ExchangingNode elsewhere(now - 1min);
+    const auto old = relay.digest("relay", 1, now);
+    EXPECT_TRUE(elsewhere.exchange.takeDigest(relay.digest("relay", 2, now), now));
+    EXPECT_FALSE(elsewhere.exchange.takeDigest(old, now)) << "older than the last one";
+    EXPECT_FALSE(elsewhere.exchange.takeDigest(second.digest("second", 7, now), now)) << "the first relay is heard";
+    EXPECT_TRUE(elsewhere.exchange.takeDigest(second.digest("second", 8, now + 2s), now + 2s)) << "the first relay is silent";
+}
+
+/** Guards against spending that is charged again when another node becomes the relay: accounts would be refused for seconds. */
+TEST(StatusExchangeTest, ChangeOfTheRelayChargesNothingAgain)
+{
+    const TimePoint now{ 1h };
+    ExchangingNode relay(now - 1min);
+    ExchangingNode second(now - 1min);
+    ExchangingNode elsewhere(now - 1min);
+    relay.spendAll(now - 30s);
+    relay.tellFirst("relay", second, now - 30s);
+    EXPECT_TRUE(elsewhere.exchange.takeDigest(relay.digest("relay", 1, now - 20s), now - 20s));
+    EXPECT_TRUE(elsewhere.exchange.takeDigest(second.digest("second", 1, now), now));
+    EXPECT_GE(elsewhere.accounts.available(Florists, Limit, now), Limit.burst * 0.9);
+}
+
 struct FleetCase {
     const char *name;
     std::size_t peers;
--- a/modules/mesh/tests/treeadmissiontest.cpp
+++ b/modules/mesh/tests/treeadmissiontest.cpp
@@ -74,7 +74,7 @@
             for (std::size_t n = 0; n < Nodes; ++n) {
                 for (std::size_t other = 0; other < Nodes; ++other) {
                     if (n != other) {
-                        nodes.at(n).reported(NodeName(std::to_string(other)), nodes.at(other).demand(), now);
+                        nodes.at(n).reported({ NodeName(std::to_string(other)) }, nodes.at(other).demand(), now);
                     }
                 }
                 nodes.at(n).setCapacity(Reminders, { GetParam().slots, GetParam().slots, 20ms });
