--- a/modules/mesh/decisions/accountallowance.cpp
+++ b/modules/mesh/decisions/accountallowance.cpp
@@ -18,8 +18,6 @@
 constexpr std::chrono::milliseconds UsualReportInterval(250);
 /** Report intervals after which a node counts as silent: the second report is missing, or the first one is very late. */
 constexpr double SilentIntervals = 1.6;
-/** The same for the report of a data centre, whose relay may have to be replaced. */
-constexpr double DataCentreSilentIntervals = 2;
 /** A node that has heard the others for this long knows what was spent; before, it doesn't tell others its level. */
 constexpr std::chrono::seconds LearningTime(2);
 /** Demand that every node is assumed to have, as a part of the average, so that a first request finds a token. */
@@ -77,8 +75,7 @@
     peer.heardAt = now;
     peer.nodes = reporter.nodes;
     peer.sameDataCentre = reporter.sameDataCentre;
-    // The sums of a data centre are as old as the statuses that went into them.
-    const double atSeconds = secondsOf(reporter.sameDataCentre ? now : now - m_reportInterval);
+    const double nowSeconds = secondsOf(now);
     auto before = std::exchange(peer.accounts, {});
     for (const auto &it : spending) {
         auto &account = m_accounts[it.account];
@@ -95,13 +92,15 @@
             recordFirst(account, it, reporter.sameDataCentre, now);
         }
         account.othersDemand += it.demand;
+        // The sums of a data centre are older than the report, as they are made of statuses.
+        const double atSeconds = nowSeconds - (it.demand > 0 ? it.unseen / it.demand : 0);
         account.othersDemandSeconds += it.demand * atSeconds;
         peer.accounts[it.account] = { it.demand, atSeconds, it.admitted };
     }
     for (auto &[name, old] : before) {
         // Not reported any more: no demand. The count is kept for the next report.
         forget(m_accounts[name], old);
-        peer.accounts[name] = { 0, atSeconds, old.admitted };
+        peer.accounts[name] = { 0, nowSeconds, old.admitted };
     }
 }
 
@@ -122,20 +121,28 @@
 std::vector<AccountSpending> AccountAllowance::dataCentreReport(TimePoint now)
 {
     removeSilentPeers(now);
-    std::unordered_map<AccountName, double> demands;
+    struct Sum {
+        double demand = 0;
+        double unseen = 0;
+    };
+    std::unordered_map<AccountName, Sum> sums;
+    const double nowSeconds = secondsOf(now);
     for (const auto &[name, peer] : m_peers) {
         if (!peer.sameDataCentre || isSilent(peer, now)) {
             continue;
         }
         for (const auto &[account, it] : peer.accounts) {
-            demands[account] += it.demand;
+            auto &sum = sums[account];
+            sum.demand += it.demand;
+            sum.unseen += it.demand * (nowSeconds - it.atSeconds);
         }
     }
     std::vector<AccountSpending> result;
     for (auto &[name, account] : m_accounts) {
         measure(account, 0, now);
         account.dataCentreAdmittedAtReport = account.dataCentreAdmitted;
-        AccountSpending spending{ name, account.demand + demands[name], account.dataCentreAdmitted };
+        const Sum sum = sums[name];
+        AccountSpending spending{ name, account.demand + sum.demand, account.dataCentreAdmitted, std::nullopt, sum.unseen };
         if (account.started && !isLearning(now)) {
             spending.missing = account.limit.burst - levelNow(account, now);
         }
@@ -397,7 +404,7 @@
 
 bool AccountAllowance::isSilent(const Peer &peer, TimePoint now) const
 {
-    return now - peer.heardAt > m_reportInterval * (peer.sameDataCentre ? SilentIntervals : DataCentreSilentIntervals);
+    return now - peer.heardAt > m_reportInterval * SilentIntervals;
 }
 
 std::size_t AccountAllowance::unheardNodes() const
--- a/modules/mesh/decisions/accountallowance.h
+++ b/modules/mesh/decisions/accountallowance.h
@@ -40,6 +40,8 @@
      * the bucket for long enough.
      */
     std::optional<double> missing = std::nullopt;
+    /** Requests that the nodes of a data centre may have admitted since they reported to their relay. */
+    double unseen = 0;
 };
 
 /**
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -175,11 +175,13 @@
     std::uint32_t admitted = 0;
     /** Tokens in tenths that the fleet's bucket lacks to be full, plus one; 0 if it isn't told. */
     std::uint32_t deciMissing = 0;
+    /** In a digest: requests in tenths that may have been admitted since the nodes told their relay. */
+    std::uint32_t deciUnseen = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(account, deciRate, admitted, deciMissing);
+        archive(account, deciRate, admitted, deciMissing, deciUnseen);
     }
 };
 
--- a/modules/mesh/node/statusexchange.cpp
+++ b/modules/mesh/node/statusexchange.cpp
@@ -110,7 +110,8 @@
 {
     status.demand.reserve(spending.size());
     for (const auto &it : spending) {
-        status.demand.push_back({ names.number(it.account.text()), encodeTenths(it.demand), it.admitted, encodeMissing(it.missing) });
+        status.demand.push_back(
+            { names.number(it.account.text()), encodeTenths(it.demand), it.admitted, encodeMissing(it.missing), encodeTenths(it.unseen) });
     }
     status.repeats.reserve(repeats.size());
     for (const auto &it : repeats) {
@@ -191,7 +192,8 @@
     spending.reserve(status.demand.size());
     for (const auto &it : status.demand) {
         if (const auto *name = nameOf(names, it.account)) {
-            spending.push_back({ AccountName(*name), it.deciRate / Tenths, it.admitted, decodeMissing(it.deciMissing) });
+            spending.push_back(
+                { AccountName(*name), it.deciRate / Tenths, it.admitted, decodeMissing(it.deciMissing), it.deciUnseen / Tenths });
         }
     }
     m_accounts.reported(reporter, spending, now);
--- a/modules/mesh/tests/statusexchangetest.cpp
+++ b/modules/mesh/tests/statusexchangetest.cpp
@@ -174,7 +174,7 @@
     EXPECT_LT(receiver.accounts.available(others, Limit, now), before);
 
     StatusFrame unknown;
-    unknown.demand.push_back({ 77, 1000, 50, 0 });
+    unknown.demand.push_back({ 77, 1000, 50, 0, 0 });
     receiver.exchange.take(sender, unknown, now);
 }
 
