Count the bytes that a node holds for others in one account, bounded by a fifth of the VM's memory

Cause: an answer could take 64 MiB, requests and link queues each had bounds of their own, and bodies are buffered whole: three answers without end ended a process on a VM of 160 MB. HeldBytes counts messages while they are read, requests and answers while they are served, and frames that are received or wait to be sent. Past the bound, what holds most is given up: the connection of an endless answer is closed (the request may have run: 502 or 504), a caller's unfinished request gets 503 with Retry-After, a link whose peer takes nothing is closed. A link also lost all its calls when one answer exceeded 16 MiB; now it is given up when its peer takes no byte for 2 s.

Tests: EndlessAnswerTest plays 11 shapes (heads, interim answers, bodies, chunks, extensions, trailers) at 100 connections at once with 16 MB, and checks memory, the other requests' answers and that the connections are closed; HeldBytesTest, RequestsWithoutRoomAreRefused (seen failing: holders that were told to let go still counted), LateSecondAnswerReachesNobody.

--- a/modules/async/net/asyncsocket.cpp
+++ b/modules/async/net/asyncsocket.cpp
@@ -76,7 +76,7 @@
 
 ReadResult<std::size_t> AsyncSocket::read(std::span<char> buffer, TimePoint deadline)
 {
-    while (m_fd >= 0) {
+    while (m_fd >= 0 && !std::exchange(m_readInterrupted, false)) {
         if (m_readable || m_closedByPeer) {
             const auto count = ::recv(m_fd, buffer.data(), buffer.size(), 0);
             if (count > 0) {
@@ -179,6 +179,12 @@
     m_writers.wake();
 }
 
+void AsyncSocket::interruptRead()
+{
+    m_readInterrupted = true;
+    m_readers.wake();
+}
+
 void AsyncSocket::finishWriting()
 {
     if (m_fd >= 0) {
--- a/modules/async/net/asyncsocket.h
+++ b/modules/async/net/asyncsocket.h
@@ -39,6 +39,8 @@
     std::optional<std::size_t> writeSome(std::string_view bytes);
 
     void close();
+    /** Ends the read that waits, or the next one, as if the other side had closed. */
+    void interruptRead();
     /** Ends the own direction; the other side's bytes can still be read. */
     void finishWriting();
     /** Closes with a reset, so that the other side doesn't take what it got for a complete message. */
@@ -93,6 +95,7 @@
     bool m_writable = true;
     bool m_closedByPeer = false;
     bool m_endedOrderly = false;
+    bool m_readInterrupted = false;
     WaitPoint m_readers;
     WaitPoint m_writers;
     std::function<void()> m_onClosedByPeer;
--- a/modules/async/net/httpconnection.cpp
+++ b/modules/async/net/httpconnection.cpp
@@ -67,6 +67,7 @@
 ReadResult<ReceivedResponse>
 HttpConnection::readResponse(bool headRequest, std::size_t maximumBodyBytes, bool untilClose, TimePoint deadline)
 {
+    m_stream.startMessage();
     auto head = readFinalHead(m_stream, MaximumHeadBytes, deadline);
     if (!head) {
         return tl::unexpected(head.error());
@@ -91,6 +92,7 @@
     response.idleLimit = idleLimitOf(head->headers);
     removeHopByHopHeaders(head->headers);
     response.message = { head->status, std::move(head->reason), std::move(head->headers), std::move(*body) };
+    m_stream.startMessage();
     return response;
 }
 
@@ -120,4 +122,11 @@
     }
 }
 
+void HttpConnection::countIn(HeldBytes &account)
+{
+    m_stream.countIn(account, [this] {
+        m_socket->close();
+    });
+}
+
 } // namespace Pimentohollow
--- a/modules/http/reading/bytestream.cpp
+++ b/modules/http/reading/bytestream.cpp
@@ -125,6 +125,18 @@
 {
 }
 
+void ByteStream::countIn(HeldBytes &account, std::function<void()> giveUp)
+{
+    m_held = std::make_unique<HeldBytes::Lease>(account, std::move(giveUp));
+}
+
+void ByteStream::startMessage()
+{
+    if (m_held) {
+        m_held->set(m_buffer.size() - m_position);
+    }
+}
+
 ReadResult<void> ByteStream::waitForData(TimePoint deadline)
 {
     if (hasBufferedData()) {
@@ -215,6 +227,13 @@
     }
     std::array<char, ReadBytes> bytes; // not initialised: it is written by the read below
     const auto count = m_source->read(bytes, deadline);
+    if (m_held && (m_held->isGivenUp() || (count && !m_held->add(*count)))) {
+        // The caller of the read drops what it has of the message.
+        std::string().swap(m_buffer);
+        m_position = 0;
+        (void)m_held->set(0);
+        return tl::unexpected(ReadFault::NoRoom);
+    }
     if (!count) {
         return tl::unexpected(count.error());
     }
--- a/modules/http/reading/bytestream.h
+++ b/modules/http/reading/bytestream.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/enumtable.h"
+#include "http/reading/heldbytes.h"
 
 #include <cstddef>
 #include <memory>
@@ -21,6 +22,7 @@
     Timeout,
     TooLarge,
     Malformed,
+    NoRoom, ///< the process holds too many bytes for others
 };
 
 inline constexpr auto ReadFaultNames = makeEnumTable<ReadFault>({
@@ -29,6 +31,7 @@
     { ReadFault::Timeout, "time limit exceeded" },
     { ReadFault::TooLarge, "message too large" },
     { ReadFault::Malformed, "message malformed" },
+    { ReadFault::NoRoom, "no room for the message" },
 });
 
 template <typename T>
@@ -65,6 +68,14 @@
         return m_source->now();
     }
 
+    /**
+     * Counts what is received from now on, until startMessage(). When there is no room, reads fail with NoRoom.
+     * @param giveUp as in HeldBytes::Lease; it has to end a wait of the source
+     */
+    void countIn(HeldBytes &account, std::function<void()> giveUp);
+    /** The bytes that were received so far are not held any more, but for those that no read has taken. */
+    void startMessage();
+
     /** Waits for the first byte of a message. */
     ReadResult<void> waitForData(TimePoint deadline);
 
@@ -90,6 +101,7 @@
     std::string takeBuffered(std::size_t count);
 
     std::unique_ptr<ByteSource> m_source;
+    std::unique_ptr<HeldBytes::Lease> m_held;
     std::string m_buffer;
     std::size_t m_position = 0;
 };
--- a/modules/http/reading/requestreader.cpp
+++ b/modules/http/reading/requestreader.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint16_t ContentTooLarge = 413;
 constexpr std::uint16_t ExpectationFailed = 417;
 constexpr std::uint16_t HeadersTooLarge = 431;
+constexpr std::uint16_t ServiceUnavailable = 503;
 
 RequestFault faultOf(ReadFault fault, std::string_view part, std::uint16_t tooLarge)
 {
@@ -25,6 +26,8 @@
         return { RequestTimeout, std::move(detail) };
     case ReadFault::TooLarge:
         return { tooLarge, std::move(detail) };
+    case ReadFault::NoRoom:
+        return { ServiceUnavailable, std::move(detail) };
     case ReadFault::Malformed:
         break;
     }
--- a/modules/mesh/callers/callersession.cpp
+++ b/modules/mesh/callers/callersession.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::seconds LingerTime(1);
 /** Time for the first request of a new connection: a caller that connects has one to send. */
 constexpr std::chrono::milliseconds FirstRequestTime(300);
+constexpr std::uint16_t ServiceUnavailable = 503;
+/** When a caller comes back whose request found no room: most messages that fill it have ended by their deadlines then. */
+constexpr std::chrono::seconds NoRoomReturn(1);
 const Logger Log("callers");
 
 RequestLimits limitsOf(const CallerBounds &bounds)
@@ -53,6 +56,9 @@
     m_connection.socket().onClosedByPeer([this] {
         cancelAll();
     });
+    m_connection.stream().countIn(m_environment.held, [this] {
+        m_connection.socket().interruptRead();
+    });
     m_environment.loop.spawn([self = shared_from_this()] {
         self->read();
     });
@@ -110,6 +116,7 @@
 bool CallerSession::readRequest()
 {
     const RequestLimits limits = limitsOf(m_environment.bounds());
+    m_connection.stream().startMessage();
     RequestReader reader(m_connection.stream(), limits, [this] {
         if (m_exchanges.empty()) {
             m_connection.socket().writeSome("HTTP/1.1 100 Continue\r\n\r\n");
@@ -120,6 +127,7 @@
         fail(received.error());
         return false;
     }
+    m_connection.stream().startMessage();
     const bool exclusive = !mayOverlap(received->message.method);
     while (exclusive && !m_ended && !m_exchanges.empty()) {
         m_roomForMore.wait(TimePoint::max());
@@ -127,7 +135,11 @@
     if (m_ended) {
         return false;
     }
-    auto exchange = std::make_shared<Exchange>(m_environment.loop);
+    auto exchange = std::make_shared<Exchange>(m_environment.loop, m_environment.held);
+    if (!exchange->lease.set(received->message.body.size())) {
+        fail({ ServiceUnavailable, std::string(ReadFaultNames.name(ReadFault::NoRoom)) });
+        return false;
+    }
     m_exchanges.push_back(exchange);
     const bool keepAlive = received->keepAlive;
     m_environment.loop.spawn([self = shared_from_this(), exchange, request = std::move(received->message), keepAlive]() mutable {
@@ -152,10 +164,13 @@
         return;
     }
     Log.info("request_unreadable", { { "status", std::to_string(fault.status) }, { "detail", fault.detail } });
-    auto exchange = std::make_shared<Exchange>(m_environment.loop);
+    auto exchange = std::make_shared<Exchange>(m_environment.loop, m_environment.held);
     m_exchanges.push_back(exchange);
     HttpResponseMessage response;
     response.status = fault.status;
+    if (fault.status == ServiceUnavailable) {
+        response.headers.push_back({ "Retry-After", std::to_string(NoRoomReturn.count()) });
+    }
     response.body = fault.detail;
     complete(*exchange, response, false, false);
 }
@@ -164,6 +179,8 @@
 {
     exchange.closes = !keepAlive || m_environment.closing();
     exchange.bytes = serializeResponse(response, !exchange.closes, headRequest);
+    // An answer that is ready is delivered, also when others have to make room for it.
+    (void)exchange.lease.set(exchange.bytes.size());
     exchange.answered = true;
     writeAnswers();
 }
--- a/modules/mesh/callers/callersession.h
+++ b/modules/mesh/callers/callersession.h
@@ -25,6 +25,8 @@
         std::function<HttpResponseMessage(HttpRequestMessage &&, PendingRequest &)> serve;
         /** Bounds in force now. */
         std::function<CallerBounds()> bounds;
+        /** Counts requests and answers while they are read, served and written. */
+        HeldBytes &held;
         /** The node ends: answers close their connections. */
         std::function<bool()> closing;
         /** The connection has ended. */
@@ -45,9 +47,12 @@
         bool answered = false;
         bool closes = false;
         std::string bytes;
+        /** The body of the request, then the answer. */
+        HeldBytes::Lease lease;
 
-        explicit Exchange(EventLoop &loop)
+        Exchange(EventLoop &loop, HeldBytes &held)
             : pending(loop)
+            , lease(held)
         {
         }
     };
--- a/modules/mesh/links/meshconnection.cpp
+++ b/modules/mesh/links/meshconnection.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/** Unsent bytes at which the other side counts as stuck; bounds the memory of a connection. */
-constexpr std::size_t MaximumOutputBytes = std::size_t{ 16 } * 1024 * 1024;
+/** The other side counts as stuck when it takes no byte for this long; as MeshLink::DeadSilence. */
+constexpr std::chrono::seconds StuckTime(2);
 constexpr std::size_t ReadBytes = std::size_t{ 16 } * 1024;
 /** Capacity that an empty buffer keeps. */
 constexpr std::size_t KeptBytes = std::size_t{ 32 } * 1024;
@@ -27,11 +27,19 @@
 
 } // namespace
 
-MeshConnection::MeshConnection(std::unique_ptr<AsyncSocket> socket, Handlers handlers)
+MeshConnection::MeshConnection(std::unique_ptr<AsyncSocket> socket, HeldBytes &held, Handlers handlers)
     : m_loop(socket->loop())
     , m_socket(std::move(socket))
     , m_handlers(std::move(handlers))
+    , m_lastTaken(m_loop.now())
     , m_lastReceived(m_loop.now())
+    , m_incoming(held,
+                 [this] {
+                     loseLater("no room for a frame");
+                 })
+    , m_outgoing(held, [this] {
+        loseLater("no room for unsent frames");
+    })
 {
     m_socket->onWritable([this] {
         if (std::exchange(m_blocked, false)) {
@@ -67,6 +75,10 @@
 
 void MeshConnection::postFlush()
 {
+    (void)m_outgoing.set(m_output.size());
+    if (m_blocked && m_loop.now() - m_lastTaken > StuckTime) {
+        loseLater("the peer does not read");
+    }
     if (m_blocked || std::exchange(m_flushPosted, true)) {
         return;
     }
@@ -93,7 +105,7 @@
         }
         m_lastReceived = m_loop.now();
         received.append(bytes.data(), *count);
-        if (!handleReceived(received)) {
+        if (!handleReceived(received) || !m_incoming.set(received.size())) {
             break;
         }
     }
@@ -135,17 +147,30 @@
         return;
     }
     m_blocked = *sent < m_output.size();
-    m_output.erase(0, *sent);
-    if (m_output.size() > MaximumOutputBytes) {
-        Log.warning("peer_does_not_read", { { "unsent_bytes", std::to_string(m_output.size()) } });
-        lose();
-        return;
+    if (*sent > 0) {
+        m_lastTaken = m_loop.now();
     }
+    m_output.erase(0, *sent);
+    (void)m_outgoing.set(m_output.size());
     if (m_output.empty()) {
         releaseLarge(m_output);
     }
 }
 
+void MeshConnection::loseLater(std::string_view reason)
+{
+    if (!isOpen()) {
+        return;
+    }
+    Log.warning("connection_given_up", { { "reason", std::string(reason) }, { "unsent_bytes", std::to_string(m_output.size()) } });
+    // From within a send: the handlers of the loss may change what the sender is looking at.
+    m_loop.post([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->lose();
+        }
+    });
+}
+
 void MeshConnection::lose()
 {
     m_socket->close();
--- a/modules/mesh/links/meshconnection.h
+++ b/modules/mesh/links/meshconnection.h
@@ -24,7 +24,8 @@
         std::function<void()> lost;
     };
 
-    MeshConnection(std::unique_ptr<AsyncSocket> socket, Handlers handlers);
+    /** @param held counts the frames that are read or wait to be sent */
+    MeshConnection(std::unique_ptr<AsyncSocket> socket, HeldBytes &held, Handlers handlers);
 
     /** Starts to read. */
     void start();
@@ -50,6 +51,7 @@
     void postFlush();
     bool handleReceived(std::string &received);
     void flush();
+    void loseLater(std::string_view reason);
     void lose();
 
     EventLoop &m_loop;
@@ -58,7 +60,11 @@
     std::string m_output;
     bool m_flushPosted = false;
     bool m_blocked = false;
+    /** When the other side last took bytes, or there were none to take. */
+    TimePoint m_lastTaken;
     TimePoint m_lastReceived;
+    HeldBytes::Lease m_incoming;
+    HeldBytes::Lease m_outgoing;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/links/meshlink.cpp
+++ b/modules/mesh/links/meshlink.cpp
@@ -29,8 +29,9 @@
 
 } // namespace
 
-MeshLink::MeshLink(EventLoop &loop, DirectoryEntry entry, DataCentreName ownDataCentre, Handlers handlers)
+MeshLink::MeshLink(EventLoop &loop, HeldBytes &held, DirectoryEntry entry, DataCentreName ownDataCentre, Handlers handlers)
     : m_loop(loop)
+    , m_held(held)
     , m_entry(std::move(entry))
     , m_ownDataCentre(std::move(ownDataCentre))
     , m_handlers(std::move(handlers))
@@ -172,6 +173,7 @@
         if (socket) {
             const std::weak_ptr<MeshLink> weak = weak_from_this();
             m_connection = std::make_shared<MeshConnection>(std::move(*socket),
+                                                            m_held,
                                                             MeshConnection::Handlers{ [weak](MeshFrame &&frame) {
                                                                                          if (const auto self = weak.lock()) {
                                                                                              self->handleFrame(std::move(frame));
--- a/modules/mesh/model/meshsettings.h
+++ b/modules/mesh/model/meshsettings.h
@@ -4,6 +4,7 @@
 #include "core/ipendpoint.h"
 #include "core/names.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -32,6 +33,8 @@
     double retryRatio = 0.2;
     double retrySlack = 50;
     Duration retryWindow = std::chrono::seconds(10);
+    /** Memory of the VM for this process. */
+    std::size_t memoryBytes = std::size_t{ 160 } * 1024 * 1024;
 };
 
 /** Names of the headers that carry what callers, upstreams and this node tell each other. */
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::seconds DepartureWriteTime(3);
 /** Kept back from the grace for the last answers. */
 constexpr std::chrono::milliseconds ShutDownMargin(300);
+/** One part in so many of the memory holds bytes for others: buffers double while they grow, and a body is copied into a frame. */
+constexpr std::size_t HeldMemoryPart = 5;
 const Logger Log("mesh");
 
 } // namespace
@@ -42,6 +44,7 @@
     , m_incarnation(static_cast<std::uint64_t>(
           std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.clock().wallNow().time_since_epoch()).count()))
     , m_crashes(m_loop.clock())
+    , m_held(m_environment.settings.memoryBytes / HeldMemoryPart)
     , m_accounts(m_loop.clock().now())
     , m_repeats({ m_environment.settings.retryRatio, m_environment.settings.retrySlack, m_environment.settings.retryWindow },
                 m_loop.clock().now())
@@ -50,6 +53,7 @@
                  m_environment.settings,
                  m_environment.headers,
                  m_crashes,
+                 m_held,
                  m_environment.metrics,
                  [this] {
                      upstreamChanged();
@@ -80,6 +84,7 @@
                                const auto rules = m_rules.rules();
                                return rules ? rules->rules().bounds : CallerBounds{};
                            },
+                           m_held,
                            [this] {
                                return m_closing;
                            },
@@ -109,6 +114,7 @@
                 } })
     , m_peers({ m_loop,
                 m_environment.store,
+                m_held,
                 [this] {
                     return ownEntry();
                 },
@@ -172,6 +178,12 @@
     metrics.gauge("pimentohollow_rules_version", [this] {
         return static_cast<double>(rulesVersion());
     });
+    metrics.gauge("pimentohollow_held_bytes", [this] {
+        return static_cast<double>(m_held.held());
+    });
+    metrics.gauge("pimentohollow_messages_given_up", [this] {
+        return static_cast<double>(m_held.givenUp());
+    });
     metrics.gauge("pimentohollow_log_lines_dropped", [] {
         return static_cast<double>(Logger::droppedLines());
     });
@@ -364,6 +376,7 @@
 {
     const auto holder = std::make_shared<std::weak_ptr<MeshConnection>>();
     auto connection = std::make_shared<MeshConnection>(std::move(socket),
+                                                       m_held,
                                                        MeshConnection::Handlers{ [this, holder](MeshFrame &&frame) {
                                                                                     if (const auto self = holder->lock()) {
                                                                                         handleInbound(self, std::move(frame));
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -57,6 +57,12 @@
     /** Rules are known, the way to other nodes is open, and the node isn't ending. */
     bool isReady() const;
 
+    /** Bytes held for others: requests, answers and frames on their way. */
+    std::size_t heldBytes() const
+    {
+        return m_held.held();
+    }
+
     /** What the upstream beside this node says; false if it is not of use. */
     bool announce(const UpstreamReport &announcement)
     {
@@ -132,6 +138,7 @@
     Random m_random;
     std::uint64_t m_incarnation;
     CrashTracker m_crashes;
+    HeldBytes m_held;
     AccountAllowance m_accounts;
     RepeatBudget m_repeats;
     TreeAdmission m_trees;
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -245,7 +245,8 @@
                { "service", entry.service.text() },
                { "data_centre", entry.dataCentre.text() },
                { "source", fromStore ? "store" : "peer" } });
-    auto link = std::make_shared<MeshLink>(m_environment.loop, entry, m_environment.ownEntry().dataCentre, m_environment.linkHandlers);
+    auto link = std::make_shared<MeshLink>(
+        m_environment.loop, m_environment.held, entry, m_environment.ownEntry().dataCentre, m_environment.linkHandlers);
     m_links.emplace(key, link);
     link->start();
     m_environment.changed();
--- a/modules/mesh/tests/meshlinktest.cpp
+++ b/modules/mesh/tests/meshlinktest.cpp
@@ -22,7 +22,7 @@
 public:
     explicit QuietPeer(EventLoop &loop)
         : m_listener(loop, [this](std::unique_ptr<AsyncSocket> socket) {
-            auto connection = std::make_shared<MeshConnection>(std::move(socket), MeshConnection::Handlers{});
+            auto connection = std::make_shared<MeshConnection>(std::move(socket), m_held, MeshConnection::Handlers{});
             m_connections.push_back(connection);
         })
     {
@@ -34,7 +34,13 @@
         return { NodeName("peer"), dataCentre, ServiceName("orders"), { "127.0.0.1", m_listener.port() }, 1, "" };
     }
 
+    HeldBytes &held()
+    {
+        return m_held;
+    }
+
 private:
+    HeldBytes m_held{ std::size_t{ 1024 } * 1024 };
     AsyncListener m_listener;
     std::vector<std::shared_ptr<MeshConnection>> m_connections;
 };
@@ -55,7 +61,7 @@
                                        [] {
                                            return HelloFrame{};
                                        } };
-    const auto link = std::make_shared<MeshLink>(loop, peer.entry(DataCentreName("graz")), Vienna, handlers);
+    const auto link = std::make_shared<MeshLink>(loop, peer.held(), peer.entry(DataCentreName("graz")), Vienna, handlers);
     std::optional<RunOutcome> outcome;
     loop.spawn([&] {
         link->start();
@@ -91,8 +97,8 @@
                                        [] {
                                            return HelloFrame{};
                                        } };
-    const auto far = std::make_shared<MeshLink>(loop, peer.entry(DataCentreName("graz")), Vienna, handlers);
-    const auto near = std::make_shared<MeshLink>(loop, peer.entry(Vienna), Vienna, handlers);
+    const auto far = std::make_shared<MeshLink>(loop, peer.held(), peer.entry(DataCentreName("graz")), Vienna, handlers);
+    const auto near = std::make_shared<MeshLink>(loop, peer.held(), peer.entry(Vienna), Vienna, handlers);
     loop.spawn([&] {
         far->start();
         near->start();
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -25,7 +25,6 @@
 constexpr std::chrono::milliseconds IdleMargin(1000);
 /** Non-idempotent requests go only on connections used so lately: one that the upstream closes meanwhile can't be repeated. */
 constexpr std::chrono::milliseconds FreshIdle(300);
-constexpr std::size_t MaximumAnswerBytes = std::size_t{ 64 } * 1024 * 1024;
 /** Late answers to earlier requests that are skipped on a connection. */
 constexpr int MostStaleAnswers = 3;
 /** Weight of one request in the averages of quality and run time. */
@@ -317,6 +316,7 @@
             return withoutAnswer(RunOutcome::Unreachable);
         }
         connection = std::make_unique<HttpConnection>(std::move(*socket));
+        connection->countIn(m_environment.held);
     }
     if (job.cancelled) {
         keep(std::move(connection), std::nullopt);
@@ -342,8 +342,12 @@
     }
     const std::string *requestId = findHeader(job.frame.request.headers, m_environment.headers.requestId);
     for (int n = 0; n <= MostStaleAnswers; ++n) {
-        auto response = connection.readResponse(job.frame.request.method == "HEAD", MaximumAnswerBytes, true, deadline);
+        auto response = connection.readResponse(job.frame.request.method == "HEAD", m_environment.held.limit(), true, deadline);
         if (!response) {
+            Log.info("answer_unreadable",
+                     { { "request", requestId == nullptr ? "" : *requestId },
+                       { "fault", std::string(ReadFaultNames.name(response.error())) },
+                       { "held_bytes", std::to_string(m_environment.held.held()) } });
             return withoutAnswer(response.error() == ReadFault::Timeout ? RunOutcome::TimedOut : RunOutcome::Broken);
         }
         bool stale = false;
--- a/testing/standins/mesh/scriptedupstream.cpp
+++ b/testing/standins/mesh/scriptedupstream.cpp
@@ -80,6 +80,9 @@
             }
             continue;
         }
+        if (const auto late = m_lateAnswers.extract(connection.get())) {
+            (void)connection->socket().writeAll(late.mapped(), m_loop.clock().now() + IdleTime);
+        }
         m_runs.push_back({ received->message, m_loop.now(), std::nullopt, false });
         auto &run = m_runs.back();
         m_mostRunning = std::max(m_mostRunning, ++m_running);
@@ -108,6 +111,12 @@
         return connection.socket().writeAll(bytes, deadline).has_value();
     case UpstreamAct::AnswerTwice:
         return connection.socket().writeAll(bytes + bytes, deadline).has_value();
+    case UpstreamAct::AnswerAgainLate:
+        m_lateAnswers[&connection] = bytes;
+        return connection.socket().writeAll(bytes, deadline).has_value();
+    case UpstreamAct::Endless:
+        sendEndlessly(connection, bytes, script);
+        return false;
     case UpstreamAct::AnswerWithoutLength: {
         std::string open = bytes;
         const auto start = open.find("Content-Length");
@@ -129,6 +138,29 @@
     }
 }
 
+void ScriptedUpstream::sendEndlessly(HttpConnection &connection, const std::string &answer, const UpstreamScript &script)
+{
+    constexpr std::string_view StatusLine = "HTTP/1.1 200 OK\r\n";
+    std::string beginning = script.beginning;
+    if (beginning.starts_with(StatusLine)) {
+        // The headers of a proper answer but for its framing.
+        const auto start = answer.find("\r\n") + 2;
+        beginning.insert(StatusLine.size(), answer.substr(start, answer.find("Content-Length") - start));
+    }
+    constexpr std::size_t BlockBytes = std::size_t{ 16 } * 1024;
+    std::string block;
+    while (block.size() < BlockBytes) {
+        block += script.repeated;
+    }
+    // Bounded, so that a caller that never closes fails the test instead of filling the memory.
+    constexpr std::size_t MostBytes = std::size_t{ 512 } * 1024 * 1024;
+    bool open = connection.socket().writeAll(beginning, m_loop.clock().now() + IdleTime).has_value();
+    for (std::size_t sent = 0; open && sent < MostBytes; sent += block.size()) {
+        open = connection.socket().writeAll(block, m_loop.clock().now() + IdleTime).has_value();
+        m_loop.sleepFor(std::chrono::microseconds(200));
+    }
+}
+
 std::string ScriptedUpstream::answerBytes(const HttpRequestMessage &request, const UpstreamScript &script) const
 {
     HttpResponseMessage response;
--- a/testing/standins/mesh/scriptedupstream.h
+++ b/testing/standins/mesh/scriptedupstream.h
@@ -22,6 +22,8 @@
     Reset, ///< runs, then resets the connection
     Silence, ///< runs and never answers
     Garbage, ///< bytes that are no answer
+    Endless, ///< a beginning, then the same bytes until the caller closes
+    AnswerAgainLate, ///< a second, unasked answer follows when the connection is in use again
     Refuse, ///< not run, and says so
     Misdirect, ///< another incarnation has the address
 };
@@ -30,6 +32,9 @@
     UpstreamAct act = UpstreamAct::Answer;
     std::uint16_t status = 200;
     Duration runTime = std::chrono::milliseconds(1);
+    /** What Endless sends once, after the id and the stamp if it begins a head, and what it repeats. */
+    std::string beginning = {};
+    std::string repeated = {};
 };
 
 /** One request as the upstream got it. */
@@ -81,6 +86,7 @@
 private:
     void serve(const std::shared_ptr<HttpConnection> &connection);
     bool act(HttpConnection &connection, const HttpRequestMessage &request, const UpstreamScript &script, UpstreamRun &run);
+    void sendEndlessly(HttpConnection &connection, const std::string &answer, const UpstreamScript &script);
     std::string answerBytes(const HttpRequestMessage &request, const UpstreamScript &script) const;
 
     EventLoop &m_loop;
@@ -92,6 +98,8 @@
     std::size_t m_running = 0;
     std::size_t m_mostRunning = 0;
     std::vector<std::weak_ptr<HttpConnection>> m_connections;
+    /** Answers that AnswerAgainLate sends once more, by their connection. */
+    std::map<const HttpConnection *, std::string> m_lateAnswers;
 };
 
 } // namespace Pimentohollow::Testing
