--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -562,7 +562,7 @@
     DigestFrame digest{ own.dataCentre, own.peerAddress.text(), m_incarnation, ++m_digests, true, 0, {}, {} };
     digest.sums.rulesVersion = rulesVersion();
     digest.members.push_back({ digest.relay, m_runner.load() });
-    std::map<DataCentreName, std::shared_ptr<MeshLink>> receivers;
+    std::map<DataCentreName, std::vector<std::shared_ptr<MeshLink>>> receivers;
     for (const auto &[key, link] : m_peers.links()) {
         if (!link->isReachable(now, suspectSilence())) {
             continue;
@@ -570,13 +570,16 @@
         if (link->isNear()) {
             digest.members.push_back({ key, link->load() });
         } else {
-            receivers.try_emplace(link->entry().dataCentre, link);
+            receivers[link->entry().dataCentre].push_back(link);
         }
     }
     m_exchange.fillDigest(digest, now);
     std::string bytes;
     appendFrame(bytes, std::move(digest));
-    for (const auto &[dataCentre, link] : receivers) {
+    // Each data centre has another receiver, so that the work of passing on is spread.
+    const std::size_t place = std::hash<std::string>()(own.dataCentre.text());
+    for (const auto &[dataCentre, links] : receivers) {
+        const auto &link = links[place % links.size()];
         link->sendEncoded(bytes);
         link->probe();
     }
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -15,8 +15,8 @@
 
 /** Changes of the directory are collected for this long, so that a fleet that starts doesn't wake every node for every other one. */
 constexpr std::chrono::milliseconds DirectoryPause(300);
-/** Each node watches the directory itself for this long after its start: nodes that start together must find each other. */
-constexpr std::chrono::seconds FindTime(3);
+/** Wait for the own entry to be written before the directory is watched; a store that takes no writes may still be read. */
+constexpr std::chrono::milliseconds FirstWriteTime(500);
 /** How often a node that doesn't watch the directory looks whether it should. */
 constexpr std::chrono::milliseconds DutyCheckInterval(200);
 /** Entries of nodes that could not be reached for this long are removed from the store. */
@@ -71,11 +71,11 @@
 void PeerDirectory::follow()
 {
     auto &loop = m_environment.loop;
-    const TimePoint foundBy = loop.now() + FindTime;
     Backoff backoff = storeBackoff();
     std::uint64_t position = 0;
     while (!m_left) {
-        if (m_published && m_read && loop.now() >= foundBy && !m_environment.watches()) {
+        // What the store shows together with the own entry, or before it, is all that other nodes can't know of this one.
+        if (m_published && m_read && m_ownSeen && !m_environment.watches()) {
             loop.sleepFor(DutyCheckInterval);
             continue;
         }
@@ -99,6 +99,7 @@
         position = state->position;
         applyAll(state->entries);
         m_read = true;
+        (void)awaitWritten(m_environment.loop.now() + FirstWriteTime);
         return {};
     }
     const auto changes = m_environment.store.watchDirectory(position);
@@ -208,6 +209,7 @@
 void PeerDirectory::applyOwn(const DirectoryEntry &entry)
 {
     const auto own = m_environment.ownEntry();
+    m_ownSeen = m_ownSeen || entry == own;
     if (!m_published) {
         if (entry.node == own.node && !entry.departedUpstream.empty()) {
             m_environment.departedBefore(entry.departedUpstream);
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -13,8 +13,8 @@
 {
 
 /**
- * Which nodes there are, and the links to them. Reads the directory in the store at the start and keeps this node's own entry there. Later
- * a few nodes of each data centre watch the directory and pass changes on to the others there: if all nodes did, each start of a node would
+ * Which nodes there are, and the links to them. Writes this node's own entry into the directory at the start and reads it afterwards: of two
+ * nodes that start together, at least one sees the other one and connects to it. Later a few nodes of each data centre watch the directory and pass changes on to the others there: if all nodes did, each start of a node would
  * cost a call of every other one. Also takes nodes that make themselves known by connecting, so that the fleet finds together while the
  * store is away.
  */
@@ -104,6 +104,8 @@
     /** The own entry has changed while it was being written. */
     bool m_writeAgain = false;
     bool m_published = false;
+    /** The store has shown the own entry of this process. */
+    bool m_ownSeen = false;
 };
 
 } // namespace Pimentohollow
