Let a few nodes follow the store during and after an outage

Cause: a node counted as reaching the store only after a call was answered, and after an outage the first call waited up to 25 s for a change. The first calls after a failed one now don't wait, until the nodes have told each other who reaches the store (1.5 s). While nobody does, the usual followers try all the time and a quarter of the others each second; if the store turns some nodes away, one that it serves is found by the next turns.

--- a/modules/mesh/model/fleetstore.h
+++ b/modules/mesh/model/fleetstore.h
@@ -64,6 +64,12 @@
     std::uint64_t position = 0;
 };
 
+/** How long a watch call waits for a change. */
+enum class WatchWait : std::uint8_t {
+    Long, ///< some seconds
+    None, ///< answers at once, as the first call after a failed one: whether the store is back must not wait for a change
+};
+
 /**
  * The part of the platform's store that nodes use. Calls suspend the current fiber.
  *
@@ -77,9 +83,9 @@
 
     virtual Result<RulesState> readRules() = 0;
     /** Waits for rules newer than @p position; an empty state after a while without any. */
-    virtual Result<RulesState> watchRules(std::uint64_t position) = 0;
+    virtual Result<RulesState> watchRules(std::uint64_t position, WatchWait wait) = 0;
     virtual Result<DirectoryState> readDirectory() = 0;
-    virtual Result<DirectoryChanges> watchDirectory(std::uint64_t position) = 0;
+    virtual Result<DirectoryChanges> watchDirectory(std::uint64_t position, WatchWait wait) = 0;
     /** Replaces the entry of the same peer address. */
     virtual Result<void> publish(const DirectoryEntry &entry) = 0;
     /** Removes the entry if it is still that of @p entry's incarnation. Errors: Conflict if it isn't. */
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t LeastStoreFollowers = 6;
 /** Those of one data centre, at least: the second one is there if the first fails. */
 constexpr std::size_t LeastFollowersPerDataCentre = 2;
+/** While no node of a data centre reaches the store, the usual followers try all the time, and one in so many of the others each turn. */
+constexpr std::size_t TryTurns = 4;
+constexpr std::chrono::seconds TryTurn(1);
 /** Time after the first rules in which links to peers may still be missing without the node being unready. */
 constexpr std::chrono::milliseconds LinkTime(1500);
 /** The node goes on to serve for this long after its stop was asked for: callers take two failed readiness checks to turn away. */
@@ -344,7 +347,18 @@
     }
     const std::size_t followers =
         std::max(LeastFollowersPerDataCentre, (LeastStoreFollowers + dataCentres.size() - 1) / dataCentres.size());
-    return storeFollowersBefore() < followers;
+    return storeFollowersBefore() < followers && (m_rules.storeAnswers() || triesStore(followers));
+}
+
+bool MeshNode::triesStore(std::size_t followers) const
+{
+    const std::string ownKey = ownEntry().peerAddress.text();
+    const TimePoint now = m_loop.now();
+    const auto before = static_cast<std::size_t>(std::count_if(m_peers.links().begin(), m_peers.links().end(), [&](const auto &it) {
+        return it.first < ownKey && it.second->isNear() && it.second->isReachable(now, suspectSilence());
+    }));
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / TryTurn);
+    return before < followers || (before + turn) % TryTurns == 0;
 }
 
 void MeshNode::passOn(const MeshFrame &frame)
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -107,6 +107,8 @@
     /** Nodes of the own data centre that come before this one in the duty to follow the store for the others. */
     std::size_t storeFollowersBefore() const;
     bool followsStore() const;
+    /** While nobody reaches the store, this node is one of those that try now. */
+    bool triesStore(std::size_t followers) const;
     /** Sends the frame to the nodes of the own data centre, if this node is the first of those that follow the store. */
     void passOn(const MeshFrame &frame);
     /** This node sends the digests of its data centre to the others. */
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -80,6 +80,7 @@
             continue;
         }
         const auto followed = followOnce(position);
+        m_failed = !followed;
         if (followed) {
             backoff.reset();
             continue;
@@ -102,7 +103,7 @@
         (void)awaitWritten(m_environment.loop.now() + FirstWriteTime);
         return {};
     }
-    const auto changes = m_environment.store.watchDirectory(position);
+    const auto changes = m_environment.store.watchDirectory(position, m_failed ? WatchWait::None : WatchWait::Long);
     if (!changes) {
         m_read = changes.error().kind != ErrorKind::NotFound;
         return tl::unexpected(changes.error());
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -13,10 +13,10 @@
 {
 
 /**
- * Which nodes there are, and the links to them. Writes this node's own entry into the directory at the start and reads it afterwards: of two
- * nodes that start together, at least one sees the other one and connects to it. Later a few nodes of each data centre watch the directory and pass changes on to the others there: if all nodes did, each start of a node would
- * cost a call of every other one. Also takes nodes that make themselves known by connecting, so that the fleet finds together while the
- * store is away.
+ * Which nodes there are, and the links to them. Writes this node's own entry into the directory at the start and reads it afterwards: of
+ * two nodes that start together, at least one sees the other one and connects to it. Later a few nodes of each data centre watch the
+ * directory and pass changes on to the others there: if all nodes did, each start of a node would cost a call of every other one. Also
+ * takes nodes that make themselves known by connecting, so that the fleet finds together while the store is away.
  */
 class PeerDirectory
 {
@@ -98,6 +98,8 @@
     /** Removed from the store, as another node said, but still connected. */
     std::set<std::string> m_ending;
     bool m_read = false;
+    /** The last call for the directory failed. */
+    bool m_failed = false;
     bool m_left = false;
     /** The own entry is being written. */
     bool m_writing = false;
--- a/modules/mesh/node/rulesfollower.cpp
+++ b/modules/mesh/node/rulesfollower.cpp
@@ -15,6 +15,13 @@
 constexpr std::chrono::milliseconds DutyCheckInterval(100);
 /** Time after the start in which links to the nodes that read may still be missing; shorter than the time that a version may take. */
 constexpr std::chrono::milliseconds SettleTime(800);
+/**
+ * After an outage, calls don't wait for changes until the nodes have told each other which of them reach the store again: the longest pause
+ * between failed calls, and a status. Otherwise those that were back first would wait in vain beside the usual followers.
+ */
+constexpr std::chrono::milliseconds ReturnTime(1500);
+/** Between calls in that time. */
+constexpr std::chrono::milliseconds ReturnPause(400);
 constexpr std::chrono::milliseconds AskInterval(300);
 /** Time for the nodes of the own data centre to pass new rules on, before one in another data centre is asked. */
 constexpr std::chrono::milliseconds PassTime(250);
@@ -42,7 +49,8 @@
 void RulesFollower::follow()
 {
     auto &loop = m_environment.loop;
-    const TimePoint settledAt = loop.now() + SettleTime;
+    TimePoint settledAt = loop.now() + SettleTime;
+    TimePoint steadyAt{};
     Backoff backoff = storeBackoff();
     bool known = false;
     std::uint64_t position = 0;
@@ -51,7 +59,9 @@
             loop.sleepFor(DutyCheckInterval);
             continue;
         }
-        const auto state = known ? m_environment.store.watchRules(position) : m_environment.store.readRules();
+        const bool answered = m_storeAnswers;
+        const auto wait = answered && loop.now() >= steadyAt ? WatchWait::Long : WatchWait::None;
+        const auto state = known ? m_environment.store.watchRules(position, wait) : m_environment.store.readRules();
         m_storeAnswers = state.has_value();
         if (!state) {
             known = known && state.error().kind != ErrorKind::NotFound;
@@ -60,6 +70,12 @@
             continue;
         }
         backoff.reset();
+        if (known && !answered) {
+            steadyAt = loop.now() + ReturnTime;
+        }
+        if (loop.now() < steadyAt) {
+            settledAt = loop.now() + ReturnPause;
+        }
         known = true;
         position = state->position;
         if (state->rules && state->rules->version > version()) {
