--- a/modules/mesh/mesh.h
+++ b/modules/mesh/mesh.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "mesh/decisions/accountallowance.h"
+#include "mesh/decisions/datacentreduties.h"
 #include "mesh/decisions/repeatbudget.h"
 #include "mesh/decisions/slotqueue.h"
 #include "mesh/decisions/treeadmission.h"
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -16,13 +16,6 @@
 constexpr std::chrono::milliseconds TickInterval(50);
 /** A process that has heard the others for this long knows what was spent, as AccountAllowance has it. */
 constexpr std::chrono::seconds SettleTime(2);
-/** Nodes of the fleet that follow the store for the others, at least; so many that a cut hardly takes all of them. */
-constexpr std::size_t LeastStoreFollowers = 6;
-/** Those of one data centre, at least: the second one is there if the first fails. */
-constexpr std::size_t LeastFollowersPerDataCentre = 2;
-/** While no node of a data centre reaches the store, the usual followers try all the time, and one in so many of the others each turn. */
-constexpr std::size_t TryTurns = 4;
-constexpr std::chrono::seconds TryTurn(1);
 /** Time after the first rules in which links to peers may still be missing without the node being unready. */
 constexpr std::chrono::milliseconds LinkTime(1500);
 /** The node goes on to serve for this long after its stop was asked for: callers take two failed readiness checks to turn away. */
@@ -312,31 +305,26 @@
     return statusInterval() * MissedStatuses;
 }
 
-std::size_t MeshNode::storeFollowersBefore() const
+DutyCandidate MeshNode::ownDuty() const
 {
-    const auto own = ownEntry();
-    const std::string ownKey = own.peerAddress.text();
-    const TimePoint now = m_loop.now();
-    return static_cast<std::size_t>(std::count_if(m_peers.links().begin(), m_peers.links().end(), [&](const auto &it) {
-        const auto &[key, link] = it;
-        return key < ownKey && link->isNear() && link->followsStore() && link->isReachable(now, suspectSilence());
-    }));
+    return { ownEntry().peerAddress.text(), m_rules.storeAnswers(), isSettled() };
 }
 
-bool MeshNode::isSettled() const
+std::vector<DutyCandidate> MeshNode::neighbours() const
 {
-    return !m_closing && m_loop.now() - m_startedAt >= SettleTime;
+    const TimePoint now = m_loop.now();
+    std::vector<DutyCandidate> result;
+    for (const auto &[key, link] : m_peers.links()) {
+        if (link->isNear() && link->isReachable(now, suspectSilence())) {
+            result.push_back({ key, link->followsStore(), link->isSettled() });
+        }
+    }
+    return result;
 }
 
-bool MeshNode::isRelay() const
+bool MeshNode::isSettled() const
 {
-    // Settled nodes come first, then the order of the addresses decides.
-    const auto own = std::pair(!isSettled(), ownEntry().peerAddress.text());
-    const TimePoint now = m_loop.now();
-    return std::none_of(m_peers.links().begin(), m_peers.links().end(), [&](const auto &it) {
-        const auto &[key, link] = it;
-        return link->isNear() && std::pair(!link->isSettled(), key) < own && link->isReachable(now, suspectSilence());
-    });
+    return !m_closing && m_loop.now() - m_startedAt >= SettleTime;
 }
 
 bool MeshNode::followsStore() const
@@ -345,25 +333,12 @@
     for (const auto &[key, link] : m_peers.links()) {
         dataCentres.insert(link->entry().dataCentre);
     }
-    const std::size_t followers =
-        std::max(LeastFollowersPerDataCentre, (LeastStoreFollowers + dataCentres.size() - 1) / dataCentres.size());
-    return storeFollowersBefore() < followers && (m_rules.storeAnswers() || triesStore(followers));
-}
-
-bool MeshNode::triesStore(std::size_t followers) const
-{
-    const std::string ownKey = ownEntry().peerAddress.text();
-    const TimePoint now = m_loop.now();
-    const auto before = static_cast<std::size_t>(std::count_if(m_peers.links().begin(), m_peers.links().end(), [&](const auto &it) {
-        return it.first < ownKey && it.second->isNear() && it.second->isReachable(now, suspectSilence());
-    }));
-    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / TryTurn);
-    return before < followers || (before + turn) % TryTurns == 0;
+    return Pimentohollow::followsStore(ownDuty(), neighbours(), storeFollowers(dataCentres.size()), m_loop.now());
 }
 
 void MeshNode::passOn(const MeshFrame &frame)
 {
-    if (storeFollowersBefore() > 0) {
+    if (storeFollowersBefore(ownDuty(), neighbours()) > 0) {
         return;
     }
     for (const auto &[key, link] : m_peers.links()) {
@@ -617,7 +592,7 @@
         if (now - m_lastStatus >= statusInterval() || m_exchange.isUrgent()) {
             sendStatus(false);
         }
-        if ((now - m_lastDigest >= statusInterval() || m_exchange.isDigestUrgent()) && isRelay()) {
+        if ((now - m_lastDigest >= statusInterval() || m_exchange.isDigestUrgent()) && isRelay(ownDuty(), neighbours())) {
             sendDigest();
         }
         m_peers.tick(now);
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -3,6 +3,7 @@
 #include "async/net/asynclistener.h"
 #include "mesh/callers/callersession.h"
 #include "mesh/callers/entrypath.h"
+#include "mesh/decisions/datacentreduties.h"
 #include "mesh/model/fleetstore.h"
 #include "mesh/node/peerdirectory.h"
 #include "mesh/node/rulesfollower.h"
@@ -104,15 +105,12 @@
     Duration suspectSilence() const;
 
     void registerGauges();
-    /** Nodes of the own data centre that come before this one in the duty to follow the store for the others. */
-    std::size_t storeFollowersBefore() const;
+    DutyCandidate ownDuty() const;
+    /** Nodes of the own data centre that are heard, for the division of duties. */
+    std::vector<DutyCandidate> neighbours() const;
     bool followsStore() const;
-    /** While nobody reaches the store, this node is one of those that try now. */
-    bool triesStore(std::size_t followers) const;
     /** Sends the frame to the nodes of the own data centre, if this node is the first of those that follow the store. */
     void passOn(const MeshFrame &frame);
-    /** This node sends the digests of its data centre to the others. */
-    bool isRelay() const;
     /** This process has heard the others for long enough to know what was spent. */
     bool isSettled() const;
     /** Divides what the fleet may spend by the number of its nodes. */
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -344,10 +344,13 @@
     for (int n = 0; n <= MostStaleAnswers; ++n) {
         auto response = connection.readResponse(job.frame.request.method == "HEAD", m_environment.held.limit(), true, deadline);
         if (!response) {
-            Log.info("answer_unreadable",
-                     { { "request", requestId == nullptr ? "" : *requestId },
-                       { "fault", std::string(ReadFaultNames.name(response.error())) },
-                       { "held_bytes", std::to_string(m_environment.held.held()) } });
+            // The connection of a cancelled job was closed by this node.
+            if (!job.cancelled) {
+                Log.info("answer_unreadable",
+                         { { "request", requestId == nullptr ? "" : *requestId },
+                           { "fault", std::string(ReadFaultNames.name(response.error())) },
+                           { "held_bytes", std::to_string(m_environment.held.held()) } });
+            }
             return withoutAnswer(response.error() == ReadFault::Timeout ? RunOutcome::TimedOut : RunOutcome::Broken);
         }
         bool stale = false;
