Count a blocked link as stuck from the moment it blocks

Read in review: the time without progress counted from the last bytes that were taken, so a link that had been quiet for 2 s and met a full send buffer would have been given up at once.

--- a/modules/mesh/links/meshconnection.cpp
+++ b/modules/mesh/links/meshconnection.cpp
@@ -147,9 +147,7 @@
         return;
     }
     m_blocked = *sent < m_output.size();
-    if (*sent > 0) {
-        m_lastTaken = m_loop.now();
-    }
+    m_lastTaken = m_loop.now();
     m_output.erase(0, *sent);
     (void)m_outgoing.set(m_output.size());
     if (m_output.empty()) {
--- a/modules/mesh/links/meshconnection.h
+++ b/modules/mesh/links/meshconnection.h
@@ -60,7 +60,7 @@
     std::string m_output;
     bool m_flushPosted = false;
     bool m_blocked = false;
-    /** When the other side last took bytes, or there were none to take. */
+    /** When bytes were last offered to the kernel, which happens only while it takes some. */
     TimePoint m_lastTaken;
     TimePoint m_lastReceived;
     HeldBytes::Lease m_incoming;
--- a/modules/mesh/tests/meshlinktest.cpp
+++ b/modules/mesh/tests/meshlinktest.cpp
@@ -45,8 +45,68 @@
     std::vector<std::shared_ptr<MeshConnection>> m_connections;
 };
 
+/** Accepts connections and never reads from them. */
+class StuckPeer
+{
+public:
+    explicit StuckPeer(EventLoop &loop)
+        : m_listener(loop, [this](std::unique_ptr<AsyncSocket> socket) {
+            m_sockets.push_back(std::move(socket));
+        })
+    {
+        EXPECT_TRUE(m_listener.listen({ "127.0.0.1", 0 }));
+    }
+
+    IpEndpoint address() const
+    {
+        return { "127.0.0.1", m_listener.port() };
+    }
+
+private:
+    AsyncListener m_listener;
+    std::vector<std::unique_ptr<AsyncSocket>> m_sockets;
+};
+
 } // namespace
 
+/** Guards against a connection that is given up as soon as it blocks, since it had nothing to send before, and against one that never is.
+ */
+TEST(MeshConnectionTest, PeerThatTakesNothingIsGivenUpAfterAWhile)
+{
+    constexpr std::size_t Megabyte = std::size_t{ 1024 } * 1024;
+    SystemClock clock;
+    EventLoop loop(clock);
+    StuckPeer peer(loop);
+    HeldBytes held(64 * Megabyte);
+    bool lost = false;
+    loop.spawn([&] {
+        auto socket = AsyncSocket::connect(loop, peer.address(), clock.now() + 1s);
+        ASSERT_TRUE(socket);
+        const auto connection = std::make_shared<MeshConnection>(std::move(*socket),
+                                                                 held,
+                                                                 MeshConnection::Handlers{ [](MeshFrame &&) {},
+                                                                                           [&] {
+                                                                                               lost = true;
+                                                                                           } });
+        connection->start();
+        loop.sleepFor(2500ms);
+        RunFrame large;
+        large.request.body.assign(20 * Megabyte, 'x');
+        connection->send(large);
+        loop.sleepFor(100ms);
+        connection->send(PingFrame{});
+        loop.sleepFor(100ms);
+        EXPECT_FALSE(lost) << "blocked for a moment only";
+        EXPECT_GT(held.held(), Megabyte);
+        loop.sleepFor(2500ms);
+        connection->send(PingFrame{});
+        loop.sleepFor(100ms);
+        EXPECT_TRUE(lost);
+        loop.stop();
+    });
+    loop.run();
+}
+
 /**
  * Guards against calls that go on over a connection to another data centre that has fallen silent: no status shows it there. The link is
  * avoided as soon as it leaves a question unanswered, and the calls on it end without a claim that they haven't run.
