Identify the parent of a nested call by a deadline of its own

Cause: a nested call was assigned to the running request with the closest deadline. Upstreams limit their calls (700 ms for roster reads), so most calls don't have their parent's deadline, and requests that run at once have similar ones. Work was learned for routes that make no calls, and calls ran with the rank of another request.

Change: CallParentFinder learns the limit of each call route and which routes make such calls. A request that makes calls is granted a little less than that limit, at a distance from the deadlines of its neighbours. Rejected runs no longer count as runs in the learned calls of a route.

--- a/modules/mesh/callers/ingresshandler.cpp
+++ b/modules/mesh/callers/ingresshandler.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+constexpr std::uint16_t FirstClientError = 400;
 constexpr std::uint16_t BadRequest = 400;
 constexpr std::uint16_t Unauthorized = 401;
 constexpr std::uint16_t NotFound = 404;
@@ -79,6 +80,15 @@
 {
     IngressRequest ingress;
     ingress.arrivedAt = m_environment.loop.now();
+    HttpResponseMessage response = serve(std::move(request), ingress, pending);
+    if (ingress.parent != 0) {
+        m_environment.runner.endCall(ingress.parent, response.status >= FirstClientError);
+    }
+    return response;
+}
+
+HttpResponseMessage IngressHandler::serve(HttpRequestMessage &&request, IngressRequest &ingress, PendingRequest &pending)
+{
     if (auto answer = prepareRequest(request, ingress)) {
         return std::move(*answer);
     }
@@ -123,7 +133,7 @@
     ingress.origin.rootRoute = ingress.route->name;
     ingress.origin.rank = requestRank(*ingress.route, ingress.account);
     if (ingress.account == nullptr && requestedTime) {
-        if (const auto parent = m_environment.runner.parentOfCall(ingress.arrivedAt + *requestedTime)) {
+        if (const auto parent = m_environment.runner.beginCall({ ingress.route->name, *requestedTime, ingress.arrivedAt })) {
             ingress.origin = parent->origin;
             ingress.parent = parent->ticket;
         }
@@ -389,10 +399,6 @@
 
 HttpResponseMessage IngressHandler::finishRequest(const IngressRequest &ingress, AttemptHistory &&attempts)
 {
-    const bool failed = attempts.lastReply.outcome != RunOutcome::Answered || attempts.lastReply.response.status >= FirstServerError;
-    if (ingress.parent != 0 && failed) {
-        m_environment.runner.recordFailedCall(ingress.parent);
-    }
     m_environment.metrics.counter("pimentohollow_requests_total", { { "outcome", RunOutcomeNames.name(attempts.lastReply.outcome) } })
         .add();
     if (attempts.lastReply.outcome == RunOutcome::Answered) {
--- a/modules/mesh/callers/ingresshandler.h
+++ b/modules/mesh/callers/ingresshandler.h
@@ -95,6 +95,7 @@
         std::uint32_t retryAfterMilliseconds = 0;
     };
 
+    HttpResponseMessage serve(HttpRequestMessage &&request, IngressRequest &ingress, PendingRequest &pending);
     std::optional<HttpResponseMessage> prepareRequest(HttpRequestMessage &request, IngressRequest &ingress);
     std::optional<HttpResponseMessage> admit(IngressRequest &ingress);
     HttpResponseMessage forward(HttpRequestMessage &&request, IngressRequest &ingress, PendingRequest &pending);
--- a/modules/mesh/mesh.h
+++ b/modules/mesh/mesh.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "mesh/decisions/accountratelimiter.h"
+#include "mesh/decisions/callparentfinder.h"
 #include "mesh/decisions/calltreeadmission.h"
 #include "mesh/decisions/datacentreroles.h"
 #include "mesh/decisions/serviceretrybudget.h"
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -31,8 +31,6 @@
 /** Weight of one request in the averages of quality and run time. */
 constexpr double QualityWeight = 0.04;
 constexpr double RunTimeWeight = 0.05;
-/** A nested call's deadline is sent in whole milliseconds, and the call takes a few milliseconds to arrive. */
-constexpr std::chrono::milliseconds DeadlineMatchTolerance(12);
 /** Factor on the reported quality of an upstream during its slow phase after a start. */
 constexpr double ColdStartQualityFactor = 0.85;
 const Logger Log("upstream");
@@ -213,39 +211,30 @@
     }
 }
 
-std::optional<UpstreamRunner::ParentRequest> UpstreamRunner::parentOfCall(TimePoint expiry) const
+std::optional<UpstreamRunner::ParentRequest> UpstreamRunner::beginCall(const NestedCall &call)
 {
-    const Job *closest = nullptr;
-    Duration closestDistance = Duration::max();
-    const Job *nextToExpire = nullptr;
-    for (const auto &[ticket, job] : m_jobs) {
-        if (!job->running) {
-            continue;
-        }
-        const Duration distance = job->expiry > expiry ? job->expiry - expiry : expiry - job->expiry;
-        if (distance < closestDistance) {
-            closestDistance = distance;
-            closest = job.get();
-        }
-        if (job->expiry >= expiry && (nextToExpire == nullptr || job->expiry < nextToExpire->expiry)) {
-            nextToExpire = job.get();
-        }
-    }
-    const Job *parent = closestDistance <= DeadlineMatchTolerance ? closest : nextToExpire;
-    if (parent == nullptr) {
+    const auto running = runningRequests();
+    const auto found = m_parentFinder.find(call, running);
+    if (!found) {
         return std::nullopt;
     }
-    ParentRequest request{ parent->ticket, parent->frame.origin };
+    auto &parent = *m_jobs.at(running[*found].ticket);
+    ++parent.openCalls;
+    ParentRequest request{ parent.ticket, parent.frame.origin };
     request.origin.nested = true;
     return request;
 }
 
-void UpstreamRunner::recordFailedCall(std::uint64_t parent)
+void UpstreamRunner::endCall(std::uint64_t parent, bool failed)
 {
     const auto found = m_jobs.find(parent);
-    if (found != m_jobs.end()) {
-        found->second->callFailed = true;
+    if (found == m_jobs.end()) {
+        return;
     }
+    auto &job = *found->second;
+    --job.openCalls;
+    job.lastCallEndedAt = m_environment.loop.clock().now();
+    job.callFailed = job.callFailed || failed;
 }
 
 void UpstreamRunner::addCallWork(std::uint64_t parent, const std::vector<ServiceWork> &work)
@@ -268,6 +257,18 @@
     }
 }
 
+std::vector<RunningRequest> UpstreamRunner::runningRequests() const
+{
+    std::vector<RunningRequest> running;
+    for (const auto &[ticket, job] : m_jobs) {
+        if (job->running && job->sentExpiry != TimePoint{}) {
+            const TimePoint activeAt = std::max(job->startedAt, job->lastCallEndedAt);
+            running.push_back({ ticket, job->frame.route, job->sentExpiry, activeAt, job->openCalls });
+        }
+    }
+    return running;
+}
+
 bool UpstreamRunner::isAccepting() const
 {
     return m_announced && !m_closed && !m_announcement.draining && !m_unreachable && !m_replaced;
@@ -374,8 +375,12 @@
 {
     const auto &names = m_environment.headers;
     auto &headers = job.frame.request.headers;
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(job.expiry - m_environment.loop.clock().now()).count();
-    setHeader(headers, names.deadline, std::to_string(std::max<std::int64_t>(remaining, 1)));
+    const TimePoint now = m_environment.loop.clock().now();
+    const auto remaining = std::max(std::chrono::floor<std::chrono::milliseconds>(job.expiry - now), std::chrono::milliseconds(1));
+    const auto &route = job.frame.route;
+    const auto allowed = m_parentFinder.allowedTime(route, remaining, m_queue.runTime(route), runningRequests(), now);
+    job.sentExpiry = now + allowed;
+    setHeader(headers, names.deadline, std::to_string(allowed.count()));
     setHeader(headers, names.expectedUpstream, m_announcement.id);
     return serializeRequest(job.frame.request, m_environment.settings.upstream.text());
 }
@@ -455,7 +460,7 @@
     const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - job->startedAt).count();
     result.work = std::move(job->callWork);
     result.callFailed = job->callFailed;
-    result.work.push_back({ m_environment.settings.service, static_cast<std::uint32_t>(elapsed), 1 });
+    result.work.push_back({ m_environment.settings.service, static_cast<std::uint32_t>(elapsed), neverRan(result.outcome) ? 0U : 1U });
     m_jobs.erase(job->ticket);
     std::optional<Duration> runTime;
     if (result.outcome == RunOutcome::Answered) {
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -2,6 +2,7 @@
 
 #include "async/net/httpconnection.h"
 #include "core/random.h"
+#include "mesh/decisions/callparentfinder.h"
 #include "mesh/decisions/slotqueue.h"
 #include "mesh/messages/meshframes.h"
 #include "mesh/model/meshsettings.h"
@@ -72,14 +73,14 @@
     /** Refuses waiting requests that can't finish before their deadlines. Must be called regularly. */
     void updateQueue();
     /**
-     * Returns the request for which the upstream makes a nested call. It is found by deadline, because a nested call expires with its
-     * parent request. std::nullopt if no running request can be the parent.
+     * Returns the request for which the upstream makes a nested call, and counts the call as open until endCall(). std::nullopt if no
+     * running request can be the parent.
      */
-    std::optional<ParentRequest> parentOfCall(TimePoint expiry) const;
+    std::optional<ParentRequest> beginCall(const NestedCall &call);
+    /** Ends a nested call of this request. */
+    void endCall(std::uint64_t parent, bool failed);
     /** Adds the work of a nested call to its parent request. */
     void addCallWork(std::uint64_t parent, const std::vector<ServiceWork> &work);
-    /** Records that a nested call of this request failed. */
-    void recordFailedCall(std::uint64_t parent);
 
     std::size_t jobCount() const
     {
@@ -95,6 +96,10 @@
         ReplyHandler done;
         /** Work of its nested calls. */
         std::vector<ServiceWork> callWork;
+        std::size_t openCalls = 0;
+        TimePoint lastCallEndedAt{};
+        /** Deadline that was sent to the upstream. */
+        TimePoint sentExpiry{};
         bool callFailed = false;
         bool running = false;
         bool cancelled = false;
@@ -110,6 +115,8 @@
     };
 
     bool isAccepting() const;
+    /** Requests that were sent to the upstream and haven't ended. */
+    std::vector<RunningRequest> runningRequests() const;
     void applyState();
     void start(const JobPointer &job);
     void run(const JobPointer &job);
@@ -140,6 +147,7 @@
     SlotQueue m_queue;
     std::uint64_t m_nextTicket = 0;
     std::unordered_map<std::uint64_t, JobPointer> m_jobs;
+    CallParentFinder m_parentFinder;
     std::vector<IdleConnection> m_idleConnections;
     double m_averageQuality = 1;
     double m_averageRunSeconds = 0;
