Use the retry budget while every node asks for more than it holds

Cause: while a service rejects half of its calls, the demand for retries is many times the budget. Ranks below the most urgent one, which all nested calls have, needed free tokens of the fleet's bucket, and those are what is left after the demand of all nodes since their last reports: nothing. The budget also followed the requests that still arrive, which fall as trees fail at their first call.

Change: a retry takes a token of the node's share too, and less urgent ranks leave up to 0.8 of it. A retry waits up to 200 ms for the budget. RetryRatePlan plans the rate from the requests of the past windows that the users' rule counts, so that it lasts for a window after arrivals fall; it is checked against every window by the property test and by BudgetOfThePastWindowLastsForAWindow. The used part of the ratio is 0.8 instead of 0.75, the burst a quarter of a second instead of one.

Also: usage that another node reports is deducted after the bucket is filled up to now. A bucket that had been full for a while was overestimated by what didn't fit (found by DigestReportsUsageOfADataCentre, whose fixture now refreshes the budget as a node does).

--- a/modules/mesh/callers/ingresshandler.cpp
+++ b/modules/mesh/callers/ingresshandler.cpp
@@ -39,6 +39,9 @@
 constexpr std::uint32_t FailedCallRetryRank = 4;
 /** A retry starts only if at least this multiple of the average response time remains until the deadline. */
 constexpr double MinimumRetryTimeFactor = 1.0;
+/** Longest time that a request waits for the retry budget. Waiting lets call trees finish whose retries come in clusters. */
+constexpr std::chrono::milliseconds MaximumRetryWait(200);
+constexpr std::chrono::milliseconds MinimumRetryPollInterval(5);
 /** An attempt without a response is retried on another node after this multiple of the average response time. */
 constexpr double AttemptTimeoutFactor = 5;
 constexpr std::chrono::milliseconds MinimumAttemptTimeout(120);
@@ -222,7 +225,7 @@
             continue;
         }
         const bool reachedUpstream = attempts.lastReply.outcome == RunOutcome::Rejected || !neverRan(attempts.lastReply.outcome);
-        if (reachedUpstream && !mayRetry(ingress, attempts)) {
+        if (reachedUpstream && !awaitRetry(ingress, pending, attempts)) {
             break;
         }
         if (reachedUpstream) {
@@ -340,7 +343,7 @@
         }
         awaitsAttemptDeadline = false;
         const bool mayRetryElsewhere = ingress.route->idempotent && !mayRunAgain && ingress.route->maximumAttempts > 1;
-        if (mayRetryElsewhere && tryConsumeRetry(ingress, false)) {
+        if (mayRetryElsewhere && !acquireRetry(ingress, false)) {
             m_environment.metrics.counter("pimentohollow_impatient_repeats_total").add();
             attempts.retryGranted = true;
             state->pending = nullptr;
@@ -361,26 +364,37 @@
     return ingress.origin.rank + (ingress.origin.nested ? NestedCallRetryRank : 0) + (callFailed ? FailedCallRetryRank : 0);
 }
 
-bool IngressHandler::tryConsumeRetry(const IngressRequest &ingress, bool callFailed)
+std::optional<Duration> IngressHandler::acquireRetry(const IngressRequest &ingress, bool callFailed)
 {
     const auto found = m_averageResponses.find(ingress.route->name);
     const auto tree = found == m_averageResponses.end() ? std::vector<ServiceCalls>() : found->second.serviceCalls;
-    return m_environment.retryBudget.tryAcquireRetry(ingress.service, retryRank(ingress, callFailed), tree, m_environment.loop.now());
+    return m_environment.retryBudget.acquireRetry(ingress.service, retryRank(ingress, callFailed), tree, m_environment.loop.now());
 }
 
-bool IngressHandler::mayRetry(const IngressRequest &ingress, const AttemptHistory &attempts)
+bool IngressHandler::awaitRetry(const IngressRequest &ingress, PendingRequest &pending, const AttemptHistory &attempts)
 {
     const bool allowed = ingress.route->idempotent || attempts.lastReply.outcome == RunOutcome::Rejected;
     if (!allowed || attempts.possibleRuns >= std::max(1U, ingress.route->maximumAttempts)) {
         return false;
     }
     const auto found = m_averageResponses.find(ingress.route->name);
-    const double average = found == m_averageResponses.end() ? 0 : found->second.seconds;
-    const double remaining = std::chrono::duration<double>(ingress.deadline - m_environment.loop.clock().now()).count();
-    if (remaining < average * MinimumRetryTimeFactor) {
-        return false;
+    const std::chrono::duration<double> average(found == m_averageResponses.end() ? 0 : found->second.seconds);
+    const auto &clock = m_environment.loop.clock();
+    const TimePoint latestStart = ingress.deadline - std::chrono::duration_cast<Duration>(average * MinimumRetryTimeFactor);
+    const TimePoint latestGrant = std::min(latestStart, clock.now() + MaximumRetryWait);
+    while (!pending.cancelled() && clock.now() <= latestGrant) {
+        const auto wait = acquireRetry(ingress, attempts.lastReply.callFailed);
+        if (!wait) {
+            return true;
+        }
+        const TimePoint nextTry = clock.now() + std::max<Duration>(*wait, MinimumRetryPollInterval);
+        if (nextTry > latestGrant) {
+            return false;
+        }
+        while (!pending.cancelled() && pending.wait(nextTry) == WakeReason::Woken) {
+        }
     }
-    return tryConsumeRetry(ingress, attempts.lastReply.callFailed);
+    return false;
 }
 
 TimePoint IngressHandler::attemptDeadline(const IngressRequest &ingress) const
--- a/modules/mesh/callers/ingresshandler.h
+++ b/modules/mesh/callers/ingresshandler.h
@@ -109,8 +109,9 @@
                         AttemptHistory &attempts);
     /** @param callFailed true if a nested call of the request failed */
     static std::uint32_t retryRank(const IngressRequest &ingress, bool callFailed);
-    bool tryConsumeRetry(const IngressRequest &ingress, bool callFailed);
-    bool mayRetry(const IngressRequest &ingress, const AttemptHistory &attempts);
+    std::optional<Duration> acquireRetry(const IngressRequest &ingress, bool callFailed);
+    /** Waits until the retry budget grants another attempt. Returns false if none is allowed, or none can be granted in time. */
+    bool awaitRetry(const IngressRequest &ingress, PendingRequest &pending, const AttemptHistory &attempts);
     TimePoint attemptDeadline(const IngressRequest &ingress) const;
     HttpResponseMessage finishRequest(const IngressRequest &ingress, AttemptHistory &&attempts);
     /** Records that the caller disconnected during an attempt. The returned response is never sent. */
--- a/modules/mesh/decisions/accountratelimiter.cpp
+++ b/modules/mesh/decisions/accountratelimiter.cpp
@@ -79,6 +79,11 @@
     auto before = std::exchange(peer.accounts, {});
     for (const auto &it : usage) {
         auto &account = m_accounts[it.account];
+        if (account.initialized) {
+            // The bucket may have been full in the meantime, so it must be filled before the usage is deducted.
+            account.level = currentLevel(account, now);
+            account.levelUpdatedAt = now;
+        }
         const auto found = before.find(it.account);
         if (found != before.end()) {
             // A lower count means that the node has restarted.
@@ -211,7 +216,18 @@
     refreshAccount(name, limit, now);
 }
 
-std::optional<Duration> AccountRateLimiter::admit(const AccountName &name, const AccountLimit &limit, TimePoint now)
+std::optional<Duration>
+AccountRateLimiter::admit(const AccountName &name, const AccountLimit &limit, TimePoint now, double reservedFraction)
+{
+    const auto wait = check(name, limit, now, reservedFraction);
+    if (!wait) {
+        consumeToken(name);
+    }
+    return wait;
+}
+
+std::optional<Duration>
+AccountRateLimiter::check(const AccountName &name, const AccountLimit &limit, TimePoint now, double reservedFraction)
 {
     auto &account = refreshAccount(name, limit, now);
     updateDemand(account, 1, now);
@@ -220,16 +236,25 @@
     }
     const double ownShare = share(name, account);
     const double rate = limit.ratePerSecond * ownShare * (account.level < 0 ? 1 - PaybackFraction : 1);
-    account.shareTokens =
-        std::min(std::max(1.0, rate * ShareBurstSeconds), account.shareTokens + rate * elapsedSeconds(account.shareUpdatedAt, now));
+    const double shareBurst = std::max(1.0, rate * ShareBurstSeconds);
+    account.shareTokens = std::min(shareBurst, account.shareTokens + rate * elapsedSeconds(account.shareUpdatedAt, now));
     account.shareUpdatedAt = now;
-    if (freeTokens(name, account, now) < 1 && account.shareTokens < 1) {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((1 - account.shareTokens) / std::max(rate, 0.01)));
+    const double neededShareTokens = 1 + reservedFraction * (shareBurst - 1);
+    if (freeTokens(name, account, now) < 1 + reservedFraction * limit.burst && account.shareTokens < neededShareTokens) {
+        const double missing = neededShareTokens - account.shareTokens;
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing / std::max(rate, 0.01)));
     }
-    consumeToken(account);
     return std::nullopt;
 }
 
+void AccountRateLimiter::consumeToken(const AccountName &name)
+{
+    auto &account = m_accounts[name];
+    if (account.limit.ratePerSecond > 0) {
+        consumeToken(account);
+    }
+}
+
 double AccountRateLimiter::available(const AccountName &name, const AccountLimit &limit, TimePoint now)
 {
     const auto &account = refreshAccount(name, limit, now);
--- a/modules/mesh/decisions/accountratelimiter.h
+++ b/modules/mesh/decisions/accountratelimiter.h
@@ -87,8 +87,15 @@
 
     /** Starts to track the bucket of an account, so that usage at other nodes is known before the first request arrives here. */
     void setLimit(const AccountName &account, const AccountLimit &limit, TimePoint now);
-    /** Counts the request as demand and decides on it. Returns nothing if it is admitted, otherwise the time after which to retry. */
-    std::optional<Duration> admit(const AccountName &account, const AccountLimit &limit, TimePoint now);
+    /**
+     * Counts the request as demand and decides on it. Returns nothing if it is admitted, otherwise the time after which to retry.
+     * @param reservedFraction fraction of the burst, and of the unused tokens of this node's share, that must be left afterwards, 0 to 1
+     */
+    std::optional<Duration> admit(const AccountName &account, const AccountLimit &limit, TimePoint now, double reservedFraction = 0);
+    /** As admit(), but consumes no token: consumeToken() must follow at once if the request is admitted. */
+    std::optional<Duration> check(const AccountName &account, const AccountLimit &limit, TimePoint now, double reservedFraction = 0);
+    /** Consumes the token of a request that check() has just accepted. */
+    void consumeToken(const AccountName &account);
     /** Returns the tokens that admit() could use: those that other nodes can't have consumed. */
     double available(const AccountName &account, const AccountLimit &limit, TimePoint now);
     /** Consumes a token even if there is none, and counts the request as demand. */
--- a/modules/mesh/decisions/serviceretrybudget.cpp
+++ b/modules/mesh/decisions/serviceretrybudget.cpp
@@ -11,21 +11,23 @@
 {
 
 /** Fraction of the ratio that is used; the rest covers retries that nodes grant before they receive each other's reports. */
-constexpr double UsedRatioFraction = 0.75;
+constexpr double UsedRatioFraction = 0.8;
+/** Time constant of the moving average of the requests. */
+constexpr double RequestRateTimeConstantSeconds = 1;
 /** Fraction of the slack that may be used at once; the exchange of reports may overdraw by a tenth and twenty requests. */
 constexpr double UsedSlackFraction = 0.4;
 /** A service's unused retries accumulate for up to this time. */
-constexpr double RetryBurstSeconds = 1;
+constexpr double RetryBurstSeconds = 0.25;
 /** Headroom that a nested service must have for each call that a retry makes there: other nodes grant retries at the same time. */
 constexpr double HeadroomFactor = 2;
 /** Fraction of the available retries that the least urgent rank leaves to the others; ranks in between leave less. */
-constexpr double ReservedFraction = 0.25;
+constexpr double ReservedFraction = 0.8;
 constexpr double LeastUrgentRank = 7;
+/** Time after which to ask again for the retry of a call tree for which a nested service has no headroom. */
+constexpr std::chrono::seconds CallTreeRetryInterval(1);
 /** A node that hasn't reported for this long is assumed to have no requests. */
 constexpr std::chrono::seconds PeerRateExpiry(5);
 constexpr double MinimumReportedRate = 0.1;
-/** Assumed for a service without requests, since a rate of zero means no limit. */
-constexpr double MinimumRetryRate = 0.01;
 
 AccountName limiterKey(const ServiceName &service)
 {
@@ -138,24 +140,19 @@
 void ServiceRetryBudget::recordRequest(const ServiceName &service, TimePoint now)
 {
     ownRate(service, now);
-    m_requestRates[service].perSecond += 1 / std::chrono::duration<double>(m_settings.window).count();
+    m_requestRates[service].perSecond += 1 / RequestRateTimeConstantSeconds;
 }
 
-bool ServiceRetryBudget::tryAcquireRetry(const ServiceName &service,
-                                         std::uint32_t rank,
-                                         const std::vector<ServiceCalls> &callTree,
-                                         TimePoint now)
+std::optional<Duration>
+ServiceRetryBudget::acquireRetry(const ServiceName &service, std::uint32_t rank, const std::vector<ServiceCalls> &callTree, TimePoint now)
 {
     const double reserved = std::min(1.0, rank / LeastUrgentRank) * ReservedFraction;
-    if (reserved > 0 && !hasHeadroom(service, 1, reserved, now)) {
-        return false;
-    }
     for (const auto &it : callTree) {
         if (it.service != service && !hasHeadroom(it.service, it.calls * HeadroomFactor, reserved, now)) {
-            return false;
+            return CallTreeRetryInterval;
         }
     }
-    return !m_retryLimiter.admit(limiterKey(service), limitOf(service, now), now);
+    return m_retryLimiter.admit(limiterKey(service), limitOf(service, now), now, reserved);
 }
 
 void ServiceRetryBudget::charge(const ServiceName &service, TimePoint now)
@@ -163,10 +160,15 @@
     m_retryLimiter.consume(limiterKey(service), limitOf(service, now), now);
 }
 
+void ServiceRetryBudget::refresh(const ServiceName &service, TimePoint now)
+{
+    m_retryLimiter.setLimit(limiterKey(service), limitOf(service, now), now);
+}
+
 double ServiceRetryBudget::decayedRate(const RequestRate &requests, TimePoint now) const
 {
     const double elapsed = std::chrono::duration<double>(now - requests.updatedAt).count();
-    return requests.perSecond * std::exp(-elapsed / std::chrono::duration<double>(m_settings.window).count());
+    return requests.perSecond * std::exp(-elapsed / RequestRateTimeConstantSeconds);
 }
 
 double ServiceRetryBudget::ownRate(const ServiceName &service, TimePoint now)
@@ -190,9 +192,11 @@
 
 AccountLimit ServiceRetryBudget::limitOf(const ServiceName &service, TimePoint now)
 {
-    const double rate = ownRate(service, now) + peerRate(service, true, now);
-    const double retryRate = std::max(MinimumRetryRate, rate * m_settings.ratio * UsedRatioFraction);
-    return { retryRate, m_settings.slack * UsedSlackFraction + retryRate * RetryBurstSeconds };
+    const auto plan = m_plans.try_emplace(service, m_settings.ratio * UsedRatioFraction, m_settings.window).first;
+    const double requestRate = ownRate(service, now) + peerRate(service, true, now);
+    const double plannedRate = plan->second.update(requestRate, now);
+    const double slack = m_settings.slack * UsedSlackFraction;
+    return { plannedRate + slack / std::chrono::duration<double>(m_settings.window).count(), slack + plannedRate * RetryBurstSeconds };
 }
 
 bool ServiceRetryBudget::hasHeadroom(const ServiceName &service, double calls, double reservedFraction, TimePoint now)
--- a/modules/mesh/decisions/serviceretrybudget.h
+++ b/modules/mesh/decisions/serviceretrybudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mesh/decisions/accountratelimiter.h"
+#include "mesh/decisions/retryrateplan.h"
 #include "mesh/model/servicework.h"
 
 #include <cstdint>
@@ -81,19 +82,22 @@
 
     void recordRequest(const ServiceName &service, TimePoint now);
     /**
-     * Consumes one retry from the budget; false if none is available. Less urgent ranks leave a part of the budget to the more urgent ones:
-     * when an upstream rejects half of its requests, retries of large, less urgent call trees would use up the budget and still save few of
-     * them.
+     * Consumes one retry from the budget. Returns nothing if it is granted, otherwise the time after which one is expected. Less urgent
+     * ranks leave a part of the budget to the more urgent ones: when an upstream rejects half of its requests, retries of large, less
+     * urgent call trees would use up the budget and still save few of them.
      * @param rank 0 is the most urgent
      * @param callTree calls that the retry makes again, by service; @p service itself is ignored there
      */
-    bool tryAcquireRetry(const ServiceName &service, std::uint32_t rank, const std::vector<ServiceCalls> &callTree, TimePoint now);
+    std::optional<Duration>
+    acquireRetry(const ServiceName &service, std::uint32_t rank, const std::vector<ServiceCalls> &callTree, TimePoint now);
+    /** Continues the plan of the retries to @p service; must be called several times per second for each service. */
+    void refresh(const ServiceName &service, TimePoint now);
     /** Counts a retry that can't be avoided: a nested call of a request that is itself retried. */
     void charge(const ServiceName &service, TimePoint now);
 
 private:
     struct RequestRate {
-        /** Requests per second at this node, as a moving average over the window. */
+        /** Requests per second at this node, as a moving average. */
         double perSecond = 0;
         TimePoint updatedAt{};
     };
@@ -117,6 +121,7 @@
     /** Counts retries as if each service were a client account: both are limited to a rate by the same exchange of reports. */
     AccountRateLimiter m_retryLimiter;
     std::unordered_map<ServiceName, RequestRate> m_requestRates;
+    std::unordered_map<ServiceName, RetryRatePlan> m_plans;
     std::unordered_map<NodeName, PeerRates> m_peerRates;
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -632,6 +632,7 @@
     }
     for (const auto &[service, load] : loads) {
         const std::chrono::duration<double, std::milli> wait(load.weightedWaitMilliseconds / std::max(load.slots, 1.0));
+        m_retryBudget.refresh(service, now);
         m_treeAdmission.setCapacity(service, { load.slots, load.running, std::chrono::duration_cast<Duration>(wait) });
     }
     m_treeAdmission.adjust(now);
--- a/modules/mesh/tests/serviceretrybudgettest.cpp
+++ b/modules/mesh/tests/serviceretrybudgettest.cpp
@@ -87,7 +87,7 @@
             events.emplace_back(now, false);
             // All requests fail: each one requests two retries.
             for (int retry = 0; retry < 2; ++retry) {
-                if (node.tryAcquireRetry(Orders, 0, {}, now)) {
+                if (!node.acquireRetry(Orders, 0, {}, now)) {
                     events.emplace_back(now, true);
                 }
             }
@@ -141,7 +141,7 @@
         if (makesCalls) {
             run(level + 1, next++ % (Nodes - 1), isRetry);
         }
-        if (budget.tryAcquireRetry(levels.at(level), 0, callTree, now)) {
+        if (!budget.acquireRetry(levels.at(level), 0, callTree, now)) {
             ++retries.at(level);
             if (makesCalls) {
                 run(level + 1, Nodes - 1, true);
@@ -175,13 +175,64 @@
         fleet.nodes[node].recordRequest(Orders, now);
         // Every request of one node fails three times. The requests run in sequence, so none is ever short of time.
         for (int retry = 0; node == 0 && retry < 3; ++retry) {
-            retries += fleet.nodes[node].tryAcquireRetry(Orders, 0, {}, now) ? 1 : 0;
+            retries += fleet.nodes[node].acquireRetry(Orders, 0, {}, now) ? 0 : 1;
         }
     }
     const double allowed = std::min(requests * FleetRatio, requests * 3.0 / Nodes);
     EXPECT_GE(retries, allowed * MinimumUsedFraction) << "of " << requests;
 }
 
+/** Guards against a budget that nobody may use because all nodes request more retries than it holds, whatever their rank. */
+TEST(ServiceRetryBudgetTest, ScarceBudgetIsUsedUp)
+{
+    constexpr std::size_t Nodes = 8;
+    constexpr double MinimumUsedFraction = 0.6;
+    for (const std::uint32_t rank : { 0U, 2U, 7U }) {
+        RetryBudgetFleet fleet(Nodes);
+        TimePoint now{ 1h };
+        int requests = 0;
+        int retries = 0;
+        constexpr int Count = 24000;
+        for (int n = 0; n < Count; ++n) {
+            now += 1ms;
+            fleet.advance(now);
+            auto &node = fleet.nodes.at(static_cast<std::size_t>(n) % Nodes);
+            node.recordRequest(Orders, now);
+            const bool granted = !node.acquireRetry(Orders, rank, {}, now);
+            // The first half lets the averages settle.
+            requests += n >= Count / 2 ? 1 : 0;
+            retries += n >= Count / 2 && granted ? 1 : 0;
+        }
+        EXPECT_GE(retries, requests * FleetRatio * MinimumUsedFraction) << "rank " << rank;
+    }
+}
+
+/** Guards against a budget that shrinks with the requests that still arrive, in the seconds after a service has begun to reject. */
+TEST(ServiceRetryBudgetTest, BudgetOfThePastWindowLastsForAWindow)
+{
+    ServiceRetryBudget budget({ FleetRatio, FleetSlack, Window }, TimePoint{ 1h });
+    constexpr double UsualRate = 1000;
+    TimePoint now{ 1h };
+    const auto play = [&](Duration length, int requestsPerSecond, int retriesPerRequest) {
+        int granted = 0;
+        for (const TimePoint end = now + length; now < end; now += Duration(1s) / requestsPerSecond) {
+            budget.recordRequest(Orders, now);
+            budget.refresh(Orders, now);
+            for (int n = 0; n < retriesPerRequest; ++n) {
+                granted += budget.acquireRetry(Orders, 0, {}, now) ? 0 : 1;
+            }
+        }
+        return granted;
+    };
+    play(2 * Window, static_cast<int>(UsualRate), 0);
+    constexpr double WindowSeconds = 10;
+    constexpr double MinimumUsedFraction = 0.7;
+    const int granted = play(Window, static_cast<int>(UsualRate) / 5, 5);
+    EXPECT_GE(granted, UsualRate * WindowSeconds * FleetRatio * MinimumUsedFraction);
+    EXPECT_LE(granted, UsualRate * WindowSeconds * FleetRatio + FleetSlack);
+    EXPECT_LE(play(Window, static_cast<int>(UsualRate) / 5, 5), UsualRate / 5 * WindowSeconds * FleetRatio + FleetSlack);
+}
+
 /** Guards against a retry with a large call tree that uses up the budget of a small nested service, which then can't retry single calls. */
 TEST(ServiceRetryBudgetTest, LargeCallTreeNeedsHeadroomAtEachNestedService)
 {
@@ -192,12 +243,12 @@
     budget.setNodes(2);
     budget.applyReport({ NodeName("other") }, { { reminders, 100, 0, 0 } }, now);
     budget.recordRequest(Orders, now);
-    EXPECT_TRUE(budget.tryAcquireRetry(Orders, 0, { { Orders, 1 }, { reminders, 8 } }, now));
-    EXPECT_FALSE(budget.tryAcquireRetry(Orders, 0, { { Orders, 1 }, { reminders, 80 } }, now));
+    EXPECT_FALSE(budget.acquireRetry(Orders, 0, { { Orders, 1 }, { reminders, 8 } }, now));
+    EXPECT_TRUE(budget.acquireRetry(Orders, 0, { { Orders, 1 }, { reminders, 80 } }, now));
     for (int n = 0; n < 30; ++n) {
         budget.charge(reminders, now);
     }
-    EXPECT_FALSE(budget.tryAcquireRetry(Orders, 0, { { Orders, 1 }, { reminders, 8 } }, now)) << "nested calls of retries are charged";
+    EXPECT_TRUE(budget.acquireRetry(Orders, 0, { { Orders, 1 }, { reminders, 8 } }, now)) << "nested calls of retries are charged";
 }
 
 /** Guards against retries of the least urgent requests that leave none for the most urgent ones. */
@@ -207,15 +258,15 @@
     const TimePoint now{ 1h + 5min };
     budget.recordRequest(Orders, now);
     int granted = 0;
-    while (granted < 1000 && budget.tryAcquireRetry(Orders, 7, {}, now)) {
+    while (granted < 1000 && !budget.acquireRetry(Orders, 7, {}, now)) {
         ++granted;
     }
     EXPECT_GT(granted, 0);
-    EXPECT_TRUE(budget.tryAcquireRetry(Orders, 0, {}, now));
+    EXPECT_FALSE(budget.acquireRetry(Orders, 0, {}, now));
     for (int n = 0; n < 50; ++n) {
         budget.charge(Orders, now);
     }
-    EXPECT_FALSE(budget.tryAcquireRetry(Orders, 0, {}, now)) << "charged retries count as well";
+    EXPECT_TRUE(budget.acquireRetry(Orders, 0, {}, now)) << "charged retries count as well";
 }
 
 } // namespace Pimentohollow
--- a/modules/mesh/tests/statusexchangetest.cpp
+++ b/modules/mesh/tests/statusexchangetest.cpp
@@ -27,6 +27,8 @@
     {
         exchange.setFleet(1, 250ms);
         accounts.setLimit(Florists, Limit, startedAt);
+        // As a node does ten times per second.
+        retryBudget.refresh(Orders, startedAt);
     }
 
     std::size_t consumeAllTokens(TimePoint now)
@@ -41,7 +43,7 @@
     std::size_t useAllRetries(TimePoint now)
     {
         std::size_t granted = 0;
-        while (retryBudget.tryAcquireRetry(Orders, 0, {}, now)) {
+        while (!retryBudget.acquireRetry(Orders, 0, {}, now)) {
             ++granted;
         }
         return granted;
