Charge an account only for requests that its call tree admission lets start

Cause: a request took a token of its account before the admission of its call tree refused it, so that accounts within their rate were refused with 429 when they came back.

Change: AccountRateLimiter::check() decides, consumeToken() charges after the admission.

--- a/modules/mesh/callers/ingresshandler.cpp
+++ b/modules/mesh/callers/ingresshandler.cpp
@@ -161,7 +161,7 @@
     const TimePoint now = m_environment.loop.now();
     if (ingress.account != nullptr) {
         const AccountLimit limit = limitOf(*ingress.account);
-        if (const auto wait = m_environment.accountRateLimiter.admit(ingress.account->name, limit, now)) {
+        if (const auto wait = m_environment.accountRateLimiter.check(ingress.account->name, limit, now)) {
             const auto &account = ingress.account->name;
             const auto inputs = fmt::format("share={:.3f} level={:.1f} rate={:.1f} burst={:.0f}",
                                             m_environment.accountRateLimiter.share(account, now),
@@ -186,6 +186,10 @@
                           m_environment.treeAdmission.describe(ingress.callTree, ingress.origin.rank));
         }
     }
+    if (ingress.account != nullptr) {
+        // Only now, so that a refused request doesn't use up the rate of its account.
+        m_environment.accountRateLimiter.consumeToken(ingress.account->name);
+    }
     m_environment.retryBudget.recordRequest(ingress.service, now);
     if (ingress.origin.retry) {
         m_environment.retryBudget.charge(ingress.service, now);
