Limit a request by its calls only if it has four times its usual run time

Cause: a request was granted little more than the limit of its calls when that was twice its mean run time; one that takes longer than usual would have ended before its deadline. Found by reading, no failure seen.

--- a/modules/mesh/tests/callparentfindertest.cpp
+++ b/modules/mesh/tests/callparentfindertest.cpp
@@ -82,6 +82,52 @@
         return std::string(it.param.name);
     });
 
+struct AllowedTimeCase {
+    const char *name;
+    RouteName route;
+    std::chrono::milliseconds remaining;
+    Duration typicalTime;
+    std::vector<RunningRequest> running;
+    std::chrono::milliseconds expected;
+};
+
+class CallParentFinderAllowedTimeTest : public ::testing::TestWithParam<AllowedTimeCase>
+{
+};
+
+/** Guards against requests whose calls can't be told apart, and against requests that are cut off because of their calls' limit. */
+TEST_P(CallParentFinderAllowedTimeTest, DistinguishesDeadlinesWithoutCuttingRequestsOff)
+{
+    const auto &it = GetParam();
+    CallParentFinder finder;
+    teach(finder);
+    EXPECT_EQ(finder.allowedTime(it.route, it.remaining, it.typicalTime, it.running, Now), it.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Requests,
+                         CallParentFinderAllowedTimeTest,
+                         ::testing::Values(AllowedTimeCase{ "MakesNoCalls", Read, 900ms, 10ms, { runningRequest(Map, 900ms) }, 900ms },
+                                           AllowedTimeCase{ "LessThanTheLimitOfCalls", Map, 900ms, 100ms, {}, 696ms },
+                                           AllowedTimeCase{ "OwnDeadlineIsEarlier", Map, 500ms, 100ms, {}, 500ms },
+                                           AllowedTimeCase{ "LimitIsShortForTheRoute", Map, 900ms, 200ms, {}, 900ms },
+                                           AllowedTimeCase{ "KeepsDistance", Map, 500ms, 100ms, { runningRequest(Map, 501ms) }, 496ms },
+                                           AllowedTimeCase{ "NoTimeToSpare", Map, 500ms, 300ms, { runningRequest(Map, 500ms) }, 500ms }),
+                         [](const auto &it) {
+                             return std::string(it.param.name);
+                         });
+
+/** Guards against a limit that is learned too low and then never exceeded. */
+TEST(CallParentFinderTest, SomeRequestsAreGrantedAllTheirTime)
+{
+    CallParentFinder finder;
+    teach(finder);
+    int unlimited = 0;
+    for (int n = 0; n < 160; ++n) {
+        unlimited += finder.allowedTime(Map, 900ms, 100ms, {}, Now) == 900ms ? 1 : 0;
+    }
+    EXPECT_EQ(unlimited, 10);
+}
+
 /** Guards against calls without a parent before any deadline has shown which routes make them. */
 TEST(CallParentFinderTest, AnyRouteMayMakeCallsUntilParentsAreKnown)
 {
