--- a/modules/mesh/decisions/callparentfinder.cpp
+++ b/modules/mesh/decisions/callparentfinder.cpp
@@ -18,9 +18,8 @@
 constexpr std::chrono::milliseconds DeadlineSpacing(4);
 /** A request is granted at most this fraction less in order to distinguish its deadline. */
 constexpr double MaximumReduction = 0.12;
-/** Multiples of the mean run time that a request is granted at least: of its own time, and if it is limited by its calls. */
+/** Multiple of the mean run time that a request is granted at least. */
 constexpr int MinimumRunTimes = 2;
-constexpr int MinimumRunTimesWhenLimited = 4;
 /** One request in this many is granted all of its time, so that a longer limit of the calls is noticed. */
 constexpr std::uint64_t UnlimitedInterval = 16;
 /** Routes with a smaller share of a route's identified calls are coincidences. */
@@ -71,13 +70,7 @@
             limit = std::min(limit, std::chrono::floor<std::chrono::milliseconds>(call.longestAllowed) - 2 * LimitTolerance);
         }
     }
-    if (!makesCalls || ++m_allowedTimes % UnlimitedInterval == 0) {
-        return remaining;
-    }
-    if (limit < typicalTime * MinimumRunTimesWhenLimited) {
-        limit = remaining;
-    }
-    if (limit < typicalTime * MinimumRunTimes) {
+    if (!makesCalls || ++m_allowedTimes % UnlimitedInterval == 0 || limit < typicalTime * MinimumRunTimes) {
         return remaining;
     }
     const auto isTaken = [&running, now](std::chrono::milliseconds allowed) {
--- a/modules/mesh/decisions/callparentfinder.h
+++ b/modules/mesh/decisions/callparentfinder.h
@@ -50,7 +50,7 @@
     std::optional<std::size_t> find(const NestedCall &call, const std::vector<RunningRequest> &running);
     /**
      * Returns the time to grant a request, so that the deadlines of its nested calls identify it: less than the upstream's limit for these
-     * calls, unless that is short for the route, and different from the deadlines of the other running requests.
+     * calls, and different from the deadlines of the other running requests. Returns @p remaining if that is short for the route.
      * @param remaining whole milliseconds until the deadline of the request
      * @param typicalTime mean run time of the route; zero if unknown
      */
