--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -177,6 +177,9 @@
     metrics.gauge("pimentohollow_rules_version", [this] {
         return static_cast<double>(rulesVersion());
     });
+    metrics.gauge("pimentohollow_rules_confirmation_age_seconds", [this] {
+        return std::chrono::duration<double>(m_rulesWatcher.confirmationAge()).count();
+    });
     metrics.gauge("pimentohollow_held_bytes", [this] {
         return static_cast<double>(m_bufferBudget.reservedBytes());
     });
--- a/modules/mesh/node/ruleswatcher.cpp
+++ b/modules/mesh/node/ruleswatcher.cpp
@@ -35,6 +35,7 @@
 
 RulesWatcher::RulesWatcher(Environment environment)
     : m_environment(std::move(environment))
+    , m_confirmedAt(m_environment.loop.now())
 {
 }
 
@@ -60,9 +61,11 @@
     std::uint64_t position = 0;
     while (!m_stopped) {
         if (known && (loop.now() < nextRoleCheckAt || !m_environment.watchesStore())) {
+            logRole(false);
             loop.sleepFor(RoleCheckInterval);
             continue;
         }
+        logRole(true);
         const bool storeAnsweredBefore = m_storeAnswers;
         const auto wait = storeAnsweredBefore && loop.now() >= recoveredAt ? WatchWait::Long : WatchWait::None;
         const auto state = known ? m_environment.store.watchRules(position, wait) : m_environment.store.readRules();
@@ -74,6 +77,7 @@
             continue;
         }
         backoff.reset();
+        m_confirmedAt = loop.now();
         if (known && !storeAnsweredBefore) {
             recoveredAt = loop.now() + StoreRecoveryTime;
         }
@@ -89,6 +93,17 @@
     }
 }
 
+void RulesWatcher::logRole(bool watches)
+{
+    if (std::exchange(m_watches, watches) == watches) {
+        return;
+    }
+    Log.info(watches ? "rules_watch_started" : "rules_watch_stopped",
+             { { "version", std::to_string(version()) },
+               { "confirmed_ms_ago", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(confirmationAge()).count()) },
+               { "store_answers", m_storeAnswers ? "yes" : "no" } });
+}
+
 void RulesWatcher::apply(const TrafficRules &rules, std::string_view source)
 {
     if (m_rules && rules.version <= version()) {
--- a/modules/mesh/node/ruleswatcher.h
+++ b/modules/mesh/node/ruleswatcher.h
@@ -63,6 +63,12 @@
         return m_knownSince;
     }
 
+    /** Time since the store last confirmed that it has no newer rules, or since the start before the first confirmation. */
+    Duration confirmationAge() const
+    {
+        return m_environment.loop.now() - m_confirmedAt;
+    }
+
     /** True if the last call to the store for rules succeeded. */
     bool storeAnswers() const
     {
@@ -71,6 +77,8 @@
 
 private:
     void watch();
+    /** Logs that this node starts or stops reading the rules for its data centre. */
+    void logRole(bool watches);
 
     Environment m_environment;
     std::shared_ptr<const RuleIndex> m_rules;
@@ -78,6 +86,8 @@
     /** Time since which a peer is known to have newer rules. */
     std::optional<TimePoint> m_newerKnownSince;
     TimePoint m_lastRequestAt{};
+    TimePoint m_confirmedAt{};
+    bool m_watches = false;
     bool m_storeAnswers = false;
     bool m_stopped = false;
 };
