--- a/testing/standins/mesh/rowstore.cpp
+++ b/testing/standins/mesh/rowstore.cpp
@@ -53,7 +53,7 @@
 RowStore::RowStore(EventLoop &loop)
     : m_loop(loop)
     , m_server(loop, [this](const HttpRequestMessage &request) {
-        return handle(request);
+        return handle(request, 0);
     })
 {
 }
@@ -63,6 +63,36 @@
     return m_server.listen(address);
 }
 
+std::uint16_t RowStore::addEntrance()
+{
+    const std::size_t entrance = m_entrances.size() + 1;
+    m_entrances.push_back(std::make_unique<HttpServer>(m_loop, [this, entrance](const HttpRequestMessage &request) {
+        return handle(request, entrance);
+    }));
+    return m_entrances.back()->listen({ "127.0.0.1", 0 }) ? m_entrances.back()->port() : 0;
+}
+
+void RowStore::setUnanswered(std::uint16_t port, bool unanswered)
+{
+    for (std::size_t n = 0; n < m_entrances.size(); ++n) {
+        if (m_entrances[n]->port() != port) {
+            continue;
+        }
+        if (unanswered) {
+            m_unansweredEntrances.insert(n + 1);
+        } else {
+            m_unansweredEntrances.erase(n + 1);
+        }
+    }
+}
+
+void RowStore::awaitAnswer(const Call &call)
+{
+    if (m_faults.silent || call.number <= m_lastAbandonedCall || m_unansweredEntrances.contains(call.entrance)) {
+        m_loop.sleepFor(LongSilence);
+    }
+}
+
 void RowStore::put(const std::string &table, const std::string &key, const std::string &value)
 {
     m_rows[{ table, key }] = { value, ++m_version };
@@ -82,12 +112,10 @@
     }
 }
 
-HttpResponseMessage RowStore::handle(const HttpRequestMessage &request)
+HttpResponseMessage RowStore::handle(const HttpRequestMessage &request, std::size_t entrance)
 {
-    ++m_calls;
-    if (m_faults.silent) {
-        m_loop.sleepFor(LongSilence);
-    }
+    const Call call{ ++m_calls, entrance };
+    awaitAnswer(call);
     if (m_faults.delay > Duration::zero()) {
         m_loop.sleepFor(m_faults.delay);
     }
@@ -98,7 +126,7 @@
         return get(queryOf(request.target));
     }
     if (request.target.starts_with("/rows-feed?")) {
-        return feed(queryOf(request.target));
+        return feed(call, queryOf(request.target));
     }
     if (request.target == "/rows-tx") {
         auto response = transact(request.body);
@@ -132,11 +160,12 @@
     return jsonResponse(body);
 }
 
-HttpResponseMessage RowStore::feed(const std::map<std::string, std::string> &query)
+HttpResponseMessage RowStore::feed(const Call &call, const std::map<std::string, std::string> &query)
 {
     const std::uint64_t after = std::stoull(query.at("after"));
     const TimePoint end = m_loop.clock().now() + std::chrono::milliseconds(std::stoll(query.at("waitMs")));
     while (true) {
+        awaitAnswer(call);
         if (m_faults.historyGone) {
             return textResponse(Gone);
         }
--- a/testing/standins/mesh/rowstore.h
+++ b/testing/standins/mesh/rowstore.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,17 @@
         return m_server.port();
     }
 
+    /** Opens another address for the callers of one node, which can be left unanswered on their own. Returns its port, or 0 if it can't be
+     * opened. */
+    std::uint16_t addEntrance();
+    /** Leaves open and new calls to an address without an answer, or answers new ones again. */
+    void setUnanswered(std::uint16_t port, bool unanswered);
+    /** Never answers the calls that are open now, like connections that have gone silent; new ones are answered. */
+    void abandonOpenCalls()
+    {
+        m_lastAbandonedCall = m_calls;
+    }
+
     /** Writes a row as the operator does. */
     void put(const std::string &table, const std::string &key, const std::string &value);
     /** The value of a row, or nothing. */
@@ -73,14 +86,25 @@
         bool removed = false;
     };
     using RowKey = std::pair<std::string, std::string>;
+    /** A call in progress: its position in the order of all calls, and the entrance through which it came. */
+    struct Call {
+        std::size_t number = 0;
+        std::size_t entrance = 0;
+    };
 
-    HttpResponseMessage handle(const HttpRequestMessage &request);
+    HttpResponseMessage handle(const HttpRequestMessage &request, std::size_t entrance);
     HttpResponseMessage get(const std::map<std::string, std::string> &query) const;
-    HttpResponseMessage feed(const std::map<std::string, std::string> &query);
+    HttpResponseMessage feed(const Call &call, const std::map<std::string, std::string> &query);
+    /** Waits for as long as a test may last if the call is to get no answer. */
+    void awaitAnswer(const Call &call);
     HttpResponseMessage transact(const std::string &body);
 
     EventLoop &m_loop;
     HttpServer m_server;
+    /** Entrance 0 is m_server; entrance n is the element before n. */
+    std::vector<std::unique_ptr<HttpServer>> m_entrances;
+    std::set<std::size_t> m_unansweredEntrances;
+    std::size_t m_lastAbandonedCall = 0;
     RowStoreFaults m_faults;
     std::uint64_t m_version = 1;
     std::map<RowKey, Row> m_rows;
