Bound how long a node relies on rules that the store hasn't confirmed

RulesWatchPlan decides when a node calls and for how long: one node of each data centre calls with short waits, the age of its confirmation travels in the statuses, and a node whose confirmation gets too old calls itself. All times derive from the deadline in the settings. Kept idle connections to the store are dropped after a second, as a call on a silent one costs its whole time limit.

Ruled out: versions lost between nodes, since all nodes had the same old one.

--- a/modules/async/net/httpclient.cpp
+++ b/modules/async/net/httpclient.cpp
@@ -13,6 +13,8 @@
 /** Bounds the connection attempt, so that a silent server leaves time for the rest of the call. */
 constexpr std::chrono::seconds ConnectTime(1);
 constexpr std::size_t MostIdle = 4;
+/** A connection that has been idle for longer may have gone silent without a reset; a new one costs less than a call without an answer. */
+constexpr std::chrono::seconds MaximumIdleTime(1);
 
 } // namespace
 
@@ -33,11 +35,13 @@
     }
     auto response = (*connection)->readResponse(request.method == "HEAD", MaximumBodyBytes, false, deadline);
     if (!response) {
+        // What silenced this connection may have silenced the others.
+        m_idle.clear();
         const auto kind = response.error() == ReadError::Timeout ? ErrorKind::Timeout : ErrorKind::OutcomeUnknown;
         return failure(kind, request.target, std::string(ReadErrorNames.name(response.error())), m_address.text());
     }
     if (response->reusable && m_idle.size() < MostIdle) {
-        m_idle.push_back(std::move(*connection));
+        m_idle.push_back({ std::move(*connection), m_loop.clock().now() });
     }
     return std::move(response->message);
 }
@@ -45,10 +49,10 @@
 Result<std::unique_ptr<HttpConnection>> HttpClient::take(TimePoint deadline)
 {
     while (!m_idle.empty()) {
-        auto connection = std::move(m_idle.back());
+        auto last = std::move(m_idle.back());
         m_idle.pop_back();
-        if (connection->isIdle()) {
-            return connection;
+        if (last.connection->isIdle() && m_loop.clock().now() - last.idleSince <= MaximumIdleTime) {
+            return std::move(last.connection);
         }
     }
     auto socket = AsyncSocket::connect(m_loop, m_address, std::min(deadline, m_loop.clock().now() + ConnectTime));
--- a/modules/async/net/httpclient.h
+++ b/modules/async/net/httpclient.h
@@ -30,7 +30,11 @@
 
     EventLoop &m_loop;
     IpEndpoint m_address;
-    std::vector<std::unique_ptr<HttpConnection>> m_idle;
+    struct IdleConnection {
+        std::unique_ptr<HttpConnection> connection;
+        TimePoint idleSince{};
+    };
+    std::vector<IdleConnection> m_idle;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/mesh.h
+++ b/modules/mesh/mesh.h
@@ -9,6 +9,7 @@
 #include "mesh/decisions/callparentfinder.h"
 #include "mesh/decisions/calltreeadmission.h"
 #include "mesh/decisions/datacentreroles.h"
+#include "mesh/decisions/ruleswatchplan.h"
 #include "mesh/decisions/serviceretrybudget.h"
 #include "mesh/decisions/slotqueue.h"
 #include "mesh/decisions/upstreamchooser.h"
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -232,6 +232,8 @@
     /** Index of the first of these names; the others have consecutive indices. */
     std::uint32_t firstNameIndex = 0;
     std::uint64_t rulesVersion = 0;
+    /** Time in ms since the store confirmed that there are no rules newer than rulesVersion. Not used in a digest. */
+    std::uint32_t rulesConfirmedMillisecondsAgo = 0;
     /** True if the sender reaches the store, so that it can watch the store for other nodes. */
     bool watchesStore = false;
     /** True if the sender has received statuses for long enough to report for its data centre. */
@@ -245,7 +247,17 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(names, firstNameIndex, rulesVersion, watchesStore, warmedUp, load, accountDemand, callTreeDemand, retries, crashes);
+        archive(names,
+                firstNameIndex,
+                rulesVersion,
+                rulesConfirmedMillisecondsAgo,
+                watchesStore,
+                warmedUp,
+                load,
+                accountDemand,
+                callTreeDemand,
+                retries,
+                crashes);
     }
 };
 
--- a/modules/mesh/model/fleetstore.h
+++ b/modules/mesh/model/fleetstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/error.h"
 #include "core/ipendpoint.h"
 #include "core/names.h"
@@ -66,10 +67,12 @@
     std::uint64_t position = 0;
 };
 
-/** How long a watch call waits for a change. */
-enum class WatchWait : std::uint8_t {
-    Long, ///< several seconds
-    None, ///< returns at once; for the first call after a failed one, so that a recovery is noticed without waiting for a change
+/** Time limits of a watch call. */
+struct WatchLimits {
+    /** Longest wait for a change; with zero the call returns at once. */
+    Duration wait{};
+    /** Time for the answer beyond the wait, after which the call fails with Timeout. */
+    Duration answerTime{};
 };
 
 /**
@@ -84,10 +87,10 @@
     virtual ~FleetStore() = default;
 
     virtual Result<RulesState> readRules() = 0;
-    /** Waits for rules newer than @p position; returns an empty state if there are none for a while. */
-    virtual Result<RulesState> watchRules(std::uint64_t position, WatchWait wait) = 0;
+    /** Waits for rules newer than @p position; returns an empty state if there are none. */
+    virtual Result<RulesState> watchRules(std::uint64_t position, const WatchLimits &limits) = 0;
     virtual Result<DirectoryState> readDirectory() = 0;
-    virtual Result<DirectoryChanges> watchDirectory(std::uint64_t position, WatchWait wait) = 0;
+    virtual Result<DirectoryChanges> watchDirectory(std::uint64_t position, const WatchLimits &limits) = 0;
     /** Writes @p entry, replacing the entry of the same peer address. */
     virtual Result<void> publish(const DirectoryEntry &entry) = 0;
     /** Removes the entry of @p entry's peer address if it still has the same incarnation. Errors: Conflict if it hasn't. */
--- a/modules/mesh/model/meshsettings.h
+++ b/modules/mesh/model/meshsettings.h
@@ -29,6 +29,8 @@
     Duration announceInterval = std::chrono::milliseconds(1500);
     /** Time between SIGTERM and SIGKILL. */
     Duration shutdownGrace = std::chrono::seconds(6);
+    /** Time within which accepted rules must be in force at every node. */
+    Duration rulesDeadline = std::chrono::seconds(2);
     /** Retries allowed per service in a window over all nodes: this fraction of its requests plus a fixed number. */
     double retryRatio = 0.2;
     double retrySlack = 50;
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds ShutDownMargin(300);
 /** Buffers may use 1/5 of the memory: they double in size while growing, and a body is copied into a frame. */
 constexpr std::size_t BufferMemoryDivisor = 5;
+/** Limit of the ages in statuses. */
+constexpr std::chrono::hours MaximumReportedAge(1);
 const Logger Log("mesh");
 
 } // namespace
@@ -102,8 +104,15 @@
                      })
     , m_rulesWatcher({ m_loop,
                        m_environment.store,
+                       m_environment.settings.rulesDeadline,
                        [this] {
-                           return watchesStore();
+                           return ownRoleCandidate();
+                       },
+                       [this] {
+                           return localPeers();
+                       },
+                       [this] {
+                           return statusInterval();
                        },
                        [this](const TrafficRules &rules) {
                            forwardToLocalPeers(RulesFrame{ rules });
@@ -477,6 +486,7 @@
     } else {
         m_statusExchange.applyCrashes(status);
     }
+    m_rulesWatcher.applyConfirmation(status.rulesVersion, std::chrono::milliseconds(status.rulesConfirmedMillisecondsAgo));
     if (m_rulesWatcher.shouldRequest(status.rulesVersion, link.isLocal())) {
         link.send(RulesRequestFrame{});
     }
@@ -517,6 +527,9 @@
 {
     StatusFrame status;
     status.rulesVersion = rulesVersion();
+    status.rulesConfirmedMillisecondsAgo = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::min<Duration>(m_rulesWatcher.confirmationAge(), MaximumReportedAge))
+            .count());
     status.watchesStore = m_rulesWatcher.storeAnswers() && !m_shuttingDown;
     status.warmedUp = hasWarmedUp();
     status.load = m_upstreamRunner.load();
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -19,6 +19,10 @@
 constexpr std::chrono::milliseconds FirstWriteTimeout(500);
 /** Interval at which a node that doesn't watch the directory checks whether it should. */
 constexpr std::chrono::milliseconds RoleCheckInterval(200);
+/** The store lets a call wait for at most 30 s. */
+constexpr WatchLimits DirectoryWatch{ std::chrono::seconds(25), std::chrono::seconds(2) };
+/** After a failed call, so that a recovery is noticed without waiting for a change. */
+constexpr WatchLimits DirectoryProbe{ Duration::zero(), std::chrono::seconds(2) };
 /** The store entry of a node that has been unreachable for this long is removed. */
 constexpr std::chrono::seconds DeadPeerTimeout(60);
 constexpr std::chrono::milliseconds WrittenCheckInterval(5);
@@ -103,7 +107,7 @@
         (void)awaitWritten(m_environment.loop.now() + FirstWriteTimeout);
         return {};
     }
-    const auto changes = m_environment.store.watchDirectory(position, m_lastCallFailed ? WatchWait::None : WatchWait::Long);
+    const auto changes = m_environment.store.watchDirectory(position, m_lastCallFailed ? DirectoryProbe : DirectoryWatch);
     if (!changes) {
         m_directoryRead = changes.error().kind != ErrorKind::NotFound;
         return tl::unexpected(changes.error());
--- a/modules/mesh/node/ruleswatcher.cpp
+++ b/modules/mesh/node/ruleswatcher.cpp
@@ -18,14 +18,6 @@
  * the time within which new rules must arrive.
  */
 constexpr std::chrono::milliseconds LinkSetupTime(800);
-/**
- * After an outage, calls return at once instead of waiting for changes, until the nodes have reported to each other which of them reach the
- * store again. This takes the longest delay between failed calls plus one status interval. Otherwise the first nodes to reconnect would
- * keep a long watch open although the regular watchers have taken over.
- */
-constexpr std::chrono::milliseconds StoreRecoveryTime(1500);
-/** Interval between calls during StoreRecoveryTime. */
-constexpr std::chrono::milliseconds RecoveryPollInterval(400);
 constexpr std::chrono::milliseconds RequestInterval(300);
 /** Time to wait for new rules to be forwarded in the own data centre before they are requested from another one. */
 constexpr std::chrono::milliseconds ForwardTimeout(250);
@@ -35,7 +27,7 @@
 
 RulesWatcher::RulesWatcher(Environment environment)
     : m_environment(std::move(environment))
-    , m_confirmedAt(m_environment.loop.now())
+    , m_plan(m_environment.deadline, m_environment.loop.now())
 {
 }
 
@@ -54,42 +46,55 @@
 void RulesWatcher::watch()
 {
     auto &loop = m_environment.loop;
-    TimePoint nextRoleCheckAt = loop.now() + LinkSetupTime;
-    TimePoint recoveredAt{};
+    const TimePoint linksSetUpAt = loop.now() + LinkSetupTime;
     Backoff backoff = storeBackoff();
-    bool known = false;
-    std::uint64_t position = 0;
+    std::optional<std::uint64_t> position;
     while (!m_stopped) {
-        if (known && (loop.now() < nextRoleCheckAt || !m_environment.watchesStore())) {
+        const bool isDue = loop.now() >= linksSetUpAt && m_plan.isDue(m_environment.ownRole(), m_environment.localPeers(), loop.now());
+        if (position && !isDue) {
             logRole(false);
             loop.sleepFor(RoleCheckInterval);
             continue;
         }
         logRole(true);
-        const bool storeAnsweredBefore = m_storeAnswers;
-        const auto wait = storeAnsweredBefore && loop.now() >= recoveredAt ? WatchWait::Long : WatchWait::None;
-        const auto state = known ? m_environment.store.watchRules(position, wait) : m_environment.store.readRules();
-        m_storeAnswers = state.has_value();
-        if (!state) {
-            known = known && state.error().kind != ErrorKind::NotFound;
-            Log.warning("rules_unavailable", { { "error", state.error().describe() } });
-            loop.sleepFor(backoff.next());
+        const auto called = readOrWatchOnce(position);
+        if (called) {
+            backoff.reset();
             continue;
         }
-        backoff.reset();
-        m_confirmedAt = loop.now();
-        if (known && !storeAnsweredBefore) {
-            recoveredAt = loop.now() + StoreRecoveryTime;
-        }
-        if (loop.now() < recoveredAt) {
-            nextRoleCheckAt = loop.now() + RecoveryPollInterval;
+        Log.warning("rules_unavailable", { { "error", called.error().describe() } });
+        // A call without an answer has taken its time, and the next one uses a new connection.
+        if (called.error().kind != ErrorKind::Timeout) {
+            loop.sleepFor(backoff.next());
         }
-        known = true;
-        position = state->position;
-        if (state->rules && state->rules->version > version()) {
-            apply(*state->rules, "store");
-            m_environment.forwardRules(*state->rules);
+    }
+}
+
+Result<void> RulesWatcher::readOrWatchOnce(std::optional<std::uint64_t> &position)
+{
+    const TimePoint calledAt = m_environment.loop.now();
+    const WatchLimits limits = position ? m_plan.limits(m_environment.statusInterval()) : WatchLimits{};
+    const auto state = position ? m_environment.store.watchRules(*position, limits) : m_environment.store.readRules();
+    if (!state) {
+        m_plan.recordFailure(state.error().kind == ErrorKind::Timeout);
+        if (state.error().kind == ErrorKind::NotFound) {
+            position.reset();
         }
+        return tl::unexpected(state.error());
+    }
+    position = state->position;
+    m_plan.recordAnswer(limits, state->rules.has_value(), calledAt, m_environment.loop.now());
+    if (state->rules && state->rules->version > version()) {
+        apply(*state->rules, "store");
+        m_environment.forwardRules(*state->rules);
+    }
+    return {};
+}
+
+void RulesWatcher::applyConfirmation(std::uint64_t confirmedVersion, Duration age)
+{
+    if (confirmedVersion == version()) {
+        m_plan.confirm(m_environment.loop.now() - age);
     }
 }
 
@@ -101,7 +106,7 @@
     Log.info(watches ? "rules_watch_started" : "rules_watch_stopped",
              { { "version", std::to_string(version()) },
                { "confirmed_ms_ago", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(confirmationAge()).count()) },
-               { "store_answers", m_storeAnswers ? "yes" : "no" } });
+               { "store_answers", storeAnswers() ? "yes" : "no" } });
 }
 
 void RulesWatcher::apply(const TrafficRules &rules, std::string_view source)
--- a/modules/mesh/node/ruleswatcher.h
+++ b/modules/mesh/node/ruleswatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "async/loop/eventloop.h"
+#include "mesh/decisions/ruleswatchplan.h"
 #include "mesh/model/fleetstore.h"
 #include "mesh/model/ruleindex.h"
 
@@ -23,8 +24,14 @@
     struct Environment {
         EventLoop &loop;
         FleetStore &store;
-        /** Returns true if this node currently watches the store for its data centre. */
-        std::function<bool()> watchesStore;
+        /** Time within which new rules must be in force. */
+        Duration deadline{};
+        /** Returns this node's state as a candidate for watching the store. */
+        std::function<RoleCandidate()> ownRole;
+        /** Returns the other reachable nodes of the data centre. */
+        std::function<std::vector<RoleCandidate>()> localPeers;
+        /** Returns the time between the statuses of nodes of the data centre. */
+        std::function<Duration()> statusInterval;
         /** Called with newer rules from the store, to forward them to other nodes. */
         std::function<void(const TrafficRules &)> forwardRules;
         /** Called when new rules are in force, from any source. */
@@ -45,6 +52,9 @@
      */
     bool shouldRequest(std::uint64_t version, bool sameDataCentre);
 
+    /** Records that a peer knows of no newer rules than @p version, as the store confirmed to it or to others that long ago. */
+    void applyConfirmation(std::uint64_t version, Duration age);
+
     /** The rules in force, or nullptr before any rules are known. */
     std::shared_ptr<const RuleIndex> rules() const
     {
@@ -66,17 +76,19 @@
     /** Time since the store last confirmed that it has no newer rules, or since the start before the first confirmation. */
     Duration confirmationAge() const
     {
-        return m_environment.loop.now() - m_confirmedAt;
+        return m_plan.confirmationAge(m_environment.loop.now());
     }
 
     /** True if the last call to the store for rules succeeded. */
     bool storeAnswers() const
     {
-        return m_storeAnswers;
+        return m_plan.storeAnswers();
     }
 
 private:
     void watch();
+    /** Reads or watches the rules once; @p position has no value until they have been read. Errors: those of the store call. */
+    Result<void> readOrWatchOnce(std::optional<std::uint64_t> &position);
     /** Logs that this node starts or stops reading the rules for its data centre. */
     void logRole(bool watches);
 
@@ -86,9 +98,8 @@
     /** Time since which a peer is known to have newer rules. */
     std::optional<TimePoint> m_newerKnownSince;
     TimePoint m_lastRequestAt{};
-    TimePoint m_confirmedAt{};
+    RulesWatchPlan m_plan;
     bool m_watches = false;
-    bool m_storeAnswers = false;
     bool m_stopped = false;
 };
 
