Read the limit and the leaving that upstreams name in their answers, and log them

No log line or metric showed that an upstream had named a limit. UpstreamNotices keeps what the node beside the upstream knows of it and what other nodes report after a restart; nothing acts on it yet, except the log and the gauge. Malformed headers say nothing and are logged.

--- /dev/null
+++ b/modules/mesh/decisions/upstreamnotices.cpp
@@ -0,0 +1,116 @@
+#include "mesh/decisions/upstreamnotices.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+constexpr double Milli = 1000;
+/** Reports of unknown incarnations that are kept; more can only come from nodes that are wrong about the upstream. */
+constexpr std::size_t MaximumReports = 8;
+
+std::uint32_t toMilliLimit(double requestsPerSecond)
+{
+    const double limit = std::round(requestsPerSecond * Milli);
+    constexpr auto Maximum = std::numeric_limits<std::uint32_t>::max();
+    return limit >= Maximum ? Maximum : std::max<std::uint32_t>(1, static_cast<std::uint32_t>(limit));
+}
+
+/** Adds to @p notice what @p report says of the same incarnation. */
+void merge(UpstreamNotice &notice, const UpstreamNotice &report)
+{
+    notice.incarnation = report.incarnation;
+    notice.leaving = notice.leaving || report.leaving;
+    if (report.milliLimit != 0) {
+        notice.milliLimit = notice.milliLimit == 0 ? report.milliLimit : std::min(notice.milliLimit, report.milliLimit);
+    }
+}
+
+} // namespace
+
+void UpstreamNotices::setIncarnation(const std::string &incarnation)
+{
+    m_incarnation = incarnation;
+    m_current = {};
+    m_responded = false;
+    m_limitNamedAt = {};
+    const auto found = m_reports.find(incarnation);
+    if (found != m_reports.end()) {
+        m_current = found->second;
+    }
+    m_reports.clear();
+}
+
+void UpstreamNotices::recordResponse(const ResponseNotice &response, TimePoint sentAt, TimePoint now)
+{
+    m_responded = true;
+    m_current.leaving = m_current.leaving || response.leaving;
+    if (response.requestsPerSecond) {
+        m_current.milliLimit = toMilliLimit(*response.requestsPerSecond);
+        m_limitNamedAt = now;
+    } else if (sentAt > m_limitNamedAt) {
+        m_current.milliLimit = 0;
+    }
+    m_current.incarnation = m_current.leaving || m_current.milliLimit != 0 ? m_incarnation : std::string();
+}
+
+void UpstreamNotices::applyReport(const UpstreamNotice &report)
+{
+    if (report.incarnation.empty()) {
+        return;
+    }
+    if (report.incarnation != m_incarnation) {
+        if (m_reports.contains(report.incarnation) || m_reports.size() < MaximumReports) {
+            merge(m_reports[report.incarnation], report);
+        }
+        return;
+    }
+    UpstreamNotice applicable = report;
+    if (m_responded) {
+        applicable.milliLimit = 0;
+    }
+    if (applicable.leaving || applicable.milliLimit != 0) {
+        merge(m_current, applicable);
+    }
+}
+
+bool UpstreamNotices::isLeaving(const std::string &incarnation) const
+{
+    if (incarnation == m_incarnation) {
+        return m_current.leaving;
+    }
+    const auto found = m_reports.find(incarnation);
+    return found != m_reports.end() && found->second.leaving;
+}
+
+std::optional<double> UpstreamNotices::requestsPerSecond() const
+{
+    return m_current.milliLimit == 0 ? std::nullopt : std::optional(m_current.milliLimit / Milli);
+}
+
+UpstreamNotice UpstreamNotices::notice() const
+{
+    return m_incarnation.empty() && !m_reports.empty() ? m_reports.rbegin()->second : m_current;
+}
+
+void RemoteNotice::applyDirect(const UpstreamNotice &notice)
+{
+    // A node that has restarted may not know yet that its upstream leaves. The report of an earlier incarnation does no harm.
+    if (!notice.incarnation.empty() || !m_notice.leaving) {
+        m_notice = notice;
+    }
+}
+
+void RemoteNotice::applyRelayed(const UpstreamNotice &notice)
+{
+    if (!notice.incarnation.empty() && !(m_notice.leaving && m_notice.incarnation == notice.incarnation)) {
+        m_notice = notice;
+    }
+}
+
+} // namespace Pimentohollow
--- /dev/null
+++ b/modules/mesh/decisions/upstreamnotices.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/clock.h"
+#include "mesh/model/upstreamnotice.h"
+
+#include <map>
+
+namespace Pimentohollow
+{
+
+/**
+ * What the node beside an upstream knows of it from its responses: the limit that it names, and that it leaves.
+ *
+ * All requests to the upstream pass through this node, so its own observations are authoritative. They are lost when its process restarts.
+ * Each node that uses the upstream therefore keeps the last notice that it received (RemoteNotice) and sends it before its first request
+ * on a new connection, so that no request of a node outruns what this node was told. Not thread-safe; the caller passes the time.
+ */
+class UpstreamNotices
+{
+public:
+    /** Starts a new incarnation of the upstream; only what other nodes reported of this incarnation still applies. */
+    void setIncarnation(const std::string &incarnation);
+
+    /**
+     * Records a response to a request of the current incarnation. A limit ends with the first response without one to a request that was
+     * sent after the limit was last named; responses to earlier requests may have been written before.
+     * @param sentAt time at which the request was sent
+     */
+    void recordResponse(const ResponseNotice &response, TimePoint sentAt, TimePoint now);
+
+    /**
+     * Applies what another node keeps of the upstream, possibly before its incarnation has announced itself. A limit is only applied until
+     * the first response to this process; the lowest reported one applies, because the reports may be of different age.
+     */
+    void applyReport(const UpstreamNotice &report);
+
+    /** True if @p incarnation has said that it leaves. An upstream that leaves doesn't return under the same incarnation. */
+    bool isLeaving(const std::string &incarnation) const;
+
+    /** Limit of the current incarnation; nothing if it names none. */
+    std::optional<double> requestsPerSecond() const;
+
+    /** The notice to report to other nodes; before the upstream has announced itself, what others reported. */
+    UpstreamNotice notice() const;
+
+private:
+    std::string m_incarnation;
+    UpstreamNotice m_current;
+    bool m_responded = false;
+    TimePoint m_limitNamedAt{};
+    /** Reports of incarnations that haven't announced themselves, by incarnation. */
+    std::map<std::string, UpstreamNotice> m_reports;
+};
+
+/** The notice of another node's upstream that this node keeps, to report it to that node after a restart. */
+class RemoteNotice
+{
+public:
+    /** Applies the notice in a status or a reply that came from the node itself. */
+    void applyDirect(const UpstreamNotice &notice);
+    /** Applies the notice in a digest, which may be older than the last direct one; it is used only if it says something. */
+    void applyRelayed(const UpstreamNotice &notice);
+
+    const UpstreamNotice &notice() const
+    {
+        return m_notice;
+    }
+
+private:
+    UpstreamNotice m_notice;
+};
+
+} // namespace Pimentohollow
--- a/modules/mesh/mesh.h
+++ b/modules/mesh/mesh.h
@@ -13,6 +13,7 @@
 #include "mesh/decisions/serviceretrybudget.h"
 #include "mesh/decisions/slotqueue.h"
 #include "mesh/decisions/upstreamchooser.h"
+#include "mesh/decisions/upstreamnotices.h"
 #include "mesh/decisions/weightedsplit.h"
 #include "mesh/model/fleetstore.h"
 #include "mesh/model/meshsettings.h"
--- a/modules/mesh/model/meshsettings.h
+++ b/modules/mesh/model/meshsettings.h
@@ -54,6 +54,10 @@
     std::string notRun;
     /** The upstream's signature of an answer. */
     std::string stamp;
+    /** Header of answers with the requests per second that the upstream takes from all nodes together. */
+    std::string limit;
+    /** Present with the value 1 in answers of an upstream that is leaving. */
+    std::string leaving;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -180,6 +180,9 @@
     metrics.gauge("pimentohollow_waiting", [this] {
         return static_cast<double>(m_upstreamRunner.load().waiting);
     });
+    metrics.gauge("pimentohollow_upstream_named_limit", [this] {
+        return m_upstreamRunner.namedLimit().value_or(0);
+    });
     metrics.gauge("pimentohollow_peers_reachable", [this] {
         return static_cast<double>(reachablePeerCount());
     });
--- /dev/null
+++ b/modules/mesh/tests/upstreamnoticestest.cpp
@@ -0,0 +1,141 @@
+#include "mesh/decisions/upstreamnotices.h"
+#include "mesh/upstream/responsenotice.h"
+
+#include <gtest/gtest.h>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Start{ 1h };
+const std::string Upstream = "i-1@1000";
+const std::string Successor = "i-1@2000";
+
+HeaderNames noticeHeaders()
+{
+    HeaderNames names;
+    names.limit = "Server-Limit";
+    names.leaving = "Server-Leaving";
+    return names;
+}
+
+struct HeaderCase {
+    const char *name;
+    std::vector<HttpHeader> headers;
+    bool valid;
+    std::optional<double> limit;
+    bool leaving;
+};
+
+class ResponseNoticeTest : public ::testing::TestWithParam<HeaderCase>
+{
+};
+
+} // namespace
+
+/** Guards against limits that are read wrong, and against malformed ones that stop an upstream's traffic. */
+TEST_P(ResponseNoticeTest, ReadsLimitAndLeaving)
+{
+    const auto notice = parseResponseNotice(GetParam().headers, noticeHeaders());
+    ASSERT_EQ(notice.has_value(), GetParam().valid);
+    if (notice) {
+        EXPECT_EQ(notice->requestsPerSecond, GetParam().limit);
+        EXPECT_EQ(notice->leaving, GetParam().leaving);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Headers,
+                         ResponseNoticeTest,
+                         ::testing::Values(HeaderCase{ "None", {}, true, std::nullopt, false },
+                                           HeaderCase{ "Decimal", { { "server-limit", "29.1" } }, true, 29.1, false },
+                                           HeaderCase{ "Whole", { { "Server-Limit", "30" } }, true, 30, false },
+                                           HeaderCase{ "Zero", { { "Server-Limit", "0" } }, true, 0, false },
+                                           HeaderCase{ "Leaving", { { "Server-Leaving", "1" } }, true, std::nullopt, true },
+                                           HeaderCase{ "Both", { { "Server-Limit", "2" }, { "Server-Leaving", "1" } }, true, 2, true },
+                                           HeaderCase{ "Negative", { { "Server-Limit", "-1" } }, false, {}, false },
+                                           HeaderCase{ "Empty", { { "Server-Limit", "" } }, false, {}, false },
+                                           HeaderCase{ "Infinite", { { "Server-Limit", "inf" } }, false, {}, false },
+                                           HeaderCase{ "NotANumber", { { "Server-Limit", "nan" } }, false, {}, false },
+                                           HeaderCase{ "TooLarge", { { "Server-Limit", std::string(400, '9') } }, false, {}, false },
+                                           HeaderCase{ "WithUnit", { { "Server-Limit", "30/s" } }, false, {}, false },
+                                           HeaderCase{ "LeavingUnknown", { { "Server-Leaving", "soon" } }, false, {}, false }),
+                         [](const auto &it) {
+                             return std::string(it.param.name);
+                         });
+
+/** Guards against a limit that outlives the upstream's word, or ends by a response that was written before the limit was named. */
+TEST(UpstreamNoticesTest, LimitHoldsAsLongAsTheUpstreamNamesIt)
+{
+    UpstreamNotices notices;
+    notices.setIncarnation(Upstream);
+    notices.recordResponse({ 20, false }, Start, Start + 100ms);
+    EXPECT_EQ(notices.requestsPerSecond(), 20);
+    notices.recordResponse({ std::nullopt, false }, Start + 50ms, Start + 150ms);
+    EXPECT_EQ(notices.requestsPerSecond(), 20) << "the response is to a request sent before the limit was named";
+    notices.recordResponse({ 10.5, false }, Start + 160ms, Start + 200ms);
+    EXPECT_EQ(notices.requestsPerSecond(), 10.5);
+    notices.recordResponse({ std::nullopt, false }, Start + 201ms, Start + 300ms);
+    EXPECT_EQ(notices.requestsPerSecond(), std::nullopt);
+    EXPECT_EQ(notices.notice(), UpstreamNotice());
+}
+
+/** Guards against an upstream that receives requests again after it has said that it leaves. */
+TEST(UpstreamNoticesTest, LeavingIsFinalForAnIncarnation)
+{
+    UpstreamNotices notices;
+    notices.setIncarnation(Upstream);
+    notices.recordResponse({ std::nullopt, true }, Start, Start);
+    notices.recordResponse({ std::nullopt, false }, Start + 1s, Start + 1s);
+    EXPECT_TRUE(notices.isLeaving(Upstream));
+    EXPECT_FALSE(notices.isLeaving(Successor));
+    notices.setIncarnation(Successor);
+    EXPECT_FALSE(notices.isLeaving(Successor));
+    EXPECT_EQ(notices.notice(), UpstreamNotice());
+}
+
+/** Guards against a restarted node that doesn't apply what the other nodes know, or applies it to another incarnation. */
+TEST(UpstreamNoticesTest, ReportsOfOtherNodesApplyAfterARestart)
+{
+    UpstreamNotices restarted;
+    restarted.applyReport({ Upstream, 30'000, false });
+    restarted.applyReport({ Upstream, 20'000, false });
+    EXPECT_EQ(restarted.notice(), (UpstreamNotice{ Upstream, 20'000, false })) << "must not be lost by another restart";
+    restarted.setIncarnation(Upstream);
+    EXPECT_EQ(restarted.requestsPerSecond(), 20);
+    restarted.applyReport({ Upstream, 5'000, false });
+    EXPECT_EQ(restarted.requestsPerSecond(), 5) << "reported after the announcement";
+    restarted.recordResponse({ 25, false }, Start, Start);
+    restarted.applyReport({ Upstream, 5'000, false });
+    EXPECT_EQ(restarted.requestsPerSecond(), 25) << "own observations are newer";
+    restarted.applyReport({ Upstream, 0, true });
+    EXPECT_TRUE(restarted.isLeaving(Upstream)) << "leaving is final, whoever observed it";
+
+    UpstreamNotices replaced;
+    replaced.applyReport({ Upstream, 20'000, true });
+    replaced.setIncarnation(Successor);
+    EXPECT_EQ(replaced.requestsPerSecond(), std::nullopt);
+    EXPECT_FALSE(replaced.isLeaving(Successor));
+}
+
+/** Guards against copies that a restarted node, or an old digest, erases before the node has received them. */
+TEST(RemoteNoticeTest, KeepsWhatARestartedNodeDoesNotKnowYet)
+{
+    RemoteNotice remote;
+    remote.applyDirect({ Upstream, 20'000, false });
+    remote.applyRelayed({});
+    EXPECT_EQ(remote.notice().milliLimit, 20'000U);
+    remote.applyDirect({});
+    EXPECT_EQ(remote.notice(), UpstreamNotice()) << "the limit has ended";
+    remote.applyDirect({ Upstream, 0, true });
+    remote.applyRelayed({ Upstream, 20'000, false });
+    remote.applyDirect({});
+    EXPECT_TRUE(remote.notice().leaving);
+    remote.applyDirect({ Successor, 10'000, false });
+    EXPECT_EQ(remote.notice(), (UpstreamNotice{ Successor, 10'000, false }));
+}
+
+} // namespace Pimentohollow
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -2,6 +2,7 @@
 
 #include "core/logger.h"
 #include "http/server/messagewriter.h"
+#include "mesh/upstream/responsenotice.h"
 
 #include <algorithm>
 #include <cmath>
@@ -131,6 +132,9 @@
         m_averageQuality = 1;
     }
     m_incarnation = incarnation;
+    if (!sameIncarnation) {
+        m_notices.setIncarnation(incarnation);
+    }
     m_announcement = announcement;
     m_coldStartUntil = m_environment.loop.now() + announcement.coldTime;
     m_announced = true;
@@ -360,7 +364,7 @@
         bool stale = false;
         const bool keepsOpen = response->reusable && n == 0;
         const auto limit = response->idleLimit;
-        auto result = classifyResponse(std::move(*response), requestId == nullptr ? std::string() : *requestId, stale);
+        auto result = classifyResponse(std::move(*response), job, stale);
         if (!stale) {
             reusable = keepsOpen && result.outcome != RunOutcome::Broken;
             idleLimit = limit;
@@ -380,19 +384,22 @@
     const auto &route = job.frame.route;
     const auto allowed = m_parentFinder.allowedTime(route, remaining, m_queue.runTime(route), runningRequests(), now);
     job.sentExpiry = now + allowed;
+    job.sentAt = now;
+    job.incarnation = m_incarnation;
     setHeader(headers, names.deadline, std::to_string(allowed.count()));
     setHeader(headers, names.expectedUpstream, m_announcement.id);
     return serializeRequest(job.frame.request, m_environment.settings.upstream.text());
 }
 
-RunReply UpstreamRunner::classifyResponse(ReceivedResponse &&response, const std::string &requestId, bool &stale)
+RunReply UpstreamRunner::classifyResponse(ReceivedResponse &&response, const Job &job, bool &stale)
 {
     constexpr std::uint16_t Misdirected = 421;
     constexpr std::uint16_t FirstRedirect = 300;
     const auto &names = m_environment.headers;
     auto &message = response.message;
     const auto *echoedId = findHeader(message.headers, names.requestId);
-    if (echoedId != nullptr && *echoedId != requestId) {
+    const auto *requestId = findHeader(job.frame.request.headers, names.requestId);
+    if (echoedId != nullptr && (requestId == nullptr || *echoedId != *requestId)) {
         stale = true;
         return {};
     }
@@ -403,6 +410,7 @@
         m_environment.acceptingChanged();
         return replyWithoutResponse(RunOutcome::Rejected);
     }
+    applyNotice(message.headers, job);
     if (findHeader(message.headers, names.notRun) != nullptr) {
         return replyWithoutResponse(RunOutcome::Rejected);
     }
@@ -414,6 +422,30 @@
     return { RunOutcome::Answered, 0, std::move(message), {}, false };
 }
 
+void UpstreamRunner::applyNotice(const std::vector<HttpHeader> &headers, const Job &job)
+{
+    if (job.incarnation != m_incarnation) {
+        return;
+    }
+    const auto response = parseResponseNotice(headers, m_environment.headers);
+    if (!response) {
+        Log.warning("upstream_notice_invalid", { { "upstream", m_incarnation }, { "error", response.error().describe() } });
+        return;
+    }
+    const UpstreamNotice previous = m_notices.notice();
+    m_notices.recordResponse(*response, job.sentAt, m_environment.loop.clock().now());
+    const UpstreamNotice current = m_notices.notice();
+    if (current.milliLimit != previous.milliLimit) {
+        Log.info(current.milliLimit == 0 ? "upstream_limit_ended" : "upstream_limit_named",
+                 { { "upstream", m_incarnation },
+                   { "milli_requests_per_s", std::to_string(current.milliLimit) },
+                   { "previous", std::to_string(previous.milliLimit) } });
+    }
+    if (current.leaving != previous.leaving) {
+        Log.info("upstream_leaving", { { "upstream", m_incarnation } });
+    }
+}
+
 std::unique_ptr<HttpConnection> UpstreamRunner::takeIdleConnection(bool idempotent)
 {
     const TimePoint now = m_environment.loop.now();
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "mesh/decisions/callparentfinder.h"
 #include "mesh/decisions/slotqueue.h"
+#include "mesh/decisions/upstreamnotices.h"
 #include "mesh/messages/meshframes.h"
 #include "mesh/model/meshsettings.h"
 #include "mesh/model/upstreamreport.h"
@@ -70,6 +71,12 @@
     void close();
 
     LoadReport load() const;
+    /** Requests per second that the upstream accepts by its own responses; nothing if it names no limit. */
+    std::optional<double> namedLimit() const
+    {
+        return m_notices.requestsPerSecond();
+    }
+
     /** Refuses waiting requests that can't finish before their deadlines. Must be called regularly. */
     void updateQueue();
     /**
@@ -100,6 +107,9 @@
         TimePoint lastCallEndedAt{};
         /** Deadline that was sent to the upstream. */
         TimePoint sentExpiry{};
+        /** Time at which the request was sent, and the incarnation to which it was addressed. */
+        TimePoint sentAt{};
+        std::string incarnation;
         bool callFailed = false;
         bool running = false;
         bool cancelled = false;
@@ -123,7 +133,9 @@
     RunReply exchange(Job &job);
     RunReply exchangeOn(HttpConnection &connection, Job &job, bool &reusable, std::optional<Duration> &idleLimit);
     std::string serializeJobRequest(Job &job);
-    RunReply classifyResponse(ReceivedResponse &&response, const std::string &requestId, bool &stale);
+    RunReply classifyResponse(ReceivedResponse &&response, const Job &job, bool &stale);
+    /** Applies what a response to @p job says about the upstream. */
+    void applyNotice(const std::vector<HttpHeader> &headers, const Job &job);
     std::unique_ptr<HttpConnection> takeIdleConnection(bool idempotent);
     void returnIdleConnection(std::unique_ptr<HttpConnection> connection, std::optional<Duration> idleLimit);
     void finish(const JobPointer &job, RunReply &&result);
@@ -144,6 +156,7 @@
     bool m_probing = false;
     /** True if the upstream rejected a request as meant for another upstream; a new announcement is awaited. */
     bool m_replaced = false;
+    UpstreamNotices m_notices;
     SlotQueue m_queue;
     std::uint64_t m_nextTicket = 0;
     std::unordered_map<std::uint64_t, JobPointer> m_jobs;
