--- a/testing/standins/mesh/scriptedupstream.cpp
+++ b/testing/standins/mesh/scriptedupstream.cpp
@@ -75,6 +75,7 @@
             response.status = script.act == UpstreamAct::Refuse ? ServiceUnavailable : Misdirected;
             response.headers.push_back({ m_headers.notRun, "1" });
             response.headers.push_back({ m_headers.upstreamId, m_id });
+            response.headers.insert(response.headers.end(), script.headers.begin(), script.headers.end());
             if (!connection->socket().writeAll(serializeResponse(response, true, false), m_loop.clock().now() + IdleTime)) {
                 return;
             }
@@ -168,6 +169,7 @@
     const auto *id = findHeader(request.headers, m_headers.requestId);
     response.headers.push_back({ m_headers.requestId, id == nullptr ? "" : *id });
     response.headers.push_back({ m_headers.stamp, "stamp-of-" + m_id });
+    response.headers.insert(response.headers.end(), script.headers.begin(), script.headers.end());
     response.body = "answer to " + request.target;
     return serializeResponse(response, true, false);
 }
--- a/testing/standins/mesh/scriptedupstream.h
+++ b/testing/standins/mesh/scriptedupstream.h
@@ -32,6 +32,8 @@
     UpstreamAct act = UpstreamAct::Answer;
     std::uint16_t status = 200;
     Duration runTime = std::chrono::milliseconds(1);
+    /** Added to answers and refusals. */
+    std::vector<HttpHeader> headers = {};
     /** What Endless sends once, after the id and the stamp if it begins a head, and what it repeats. */
     std::string beginning = {};
     std::string repeated = {};
