Keep to the limit that an upstream names, and send nothing more to one that says it leaves

The node beside the upstream learns limit and leaving from every answer and is the only way to the upstream, so it alone paces the requests: what exceeds the limit is queued or refused by rank like what exceeds the slots. Load reports carry fewer slots and the notice to the other nodes. They keep it and send it with the hello of a new connection, so that a restarted node knows it before their first request.

--- a/modules/mesh/decisions/slotqueue.cpp
+++ b/modules/mesh/decisions/slotqueue.cpp
@@ -37,12 +37,39 @@
     m_usableSlots = slots == 0 ? 0 : std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::floor(slots * UsableShare)));
 }
 
+void SlotQueue::setRateLimit(std::optional<double> requestsPerSecond, TimePoint now)
+{
+    m_pacer.setLimit(requestsPerSecond, now);
+}
+
+std::uint32_t SlotQueue::sustainableSlots() const
+{
+    if (!m_pacer.limit() || m_usableSlots == 0) {
+        return m_usableSlots;
+    }
+    const double busy = std::floor(*m_pacer.limit() * m_meanRunTime);
+    return static_cast<std::uint32_t>(std::clamp<double>(busy, 1, m_usableSlots));
+}
+
+Duration SlotQueue::occupancyTime() const
+{
+    return m_pacer.limit() ? fromSeconds(sustainableSlots() / *m_pacer.limit()) : Duration{};
+}
+
+bool SlotQueue::tryStart(const SlotRequest &request, TimePoint now)
+{
+    if (m_running.size() >= m_usableSlots || !m_pacer.tryStart(now)) {
+        return false;
+    }
+    m_running.emplace(request.ticket, request.route);
+    return true;
+}
+
 SlotDecision SlotQueue::offer(const SlotRequest &request, TimePoint now)
 {
     const std::int64_t urgency = static_cast<std::int64_t>(request.rank) - (request.nested ? 1 : 0);
     const Position position{ urgency, ++m_nextPosition };
-    if (m_running.size() < m_usableSlots && m_waiting.empty() && canFinish(request, now, false)) {
-        m_running.emplace(request.ticket, request.route);
+    if (m_waiting.empty() && canFinish(request, now, false) && tryStart(request, now)) {
         return SlotGranted{};
     }
     const auto ahead = static_cast<std::size_t>(std::distance(m_waiting.begin(), m_waiting.lower_bound(position)));
@@ -92,8 +119,7 @@
         const SlotRequest &request = it->second;
         if (!canFinish(request, now, true)) {
             result.refuse.push_back(request.ticket);
-        } else if (m_running.size() < m_usableSlots) {
-            m_running.emplace(request.ticket, request.route);
+        } else if (tryStart(request, now)) {
             result.start.push_back(request.ticket);
         } else {
             ++it;
@@ -144,10 +170,11 @@
     if (m_usableSlots == 0) {
         return std::chrono::hours(1);
     }
+    const Duration limitWait = m_pacer.expectedWait(ahead);
     if (m_running.size() < m_usableSlots && ahead == 0) {
-        return {};
+        return limitWait;
     }
-    return fromSeconds(static_cast<double>(ahead + 1) * m_meanRunTime / m_usableSlots);
+    return std::max(limitWait, fromSeconds(static_cast<double>(ahead + 1) * m_meanRunTime / m_usableSlots));
 }
 
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/slotqueue.h
+++ b/modules/mesh/decisions/slotqueue.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/names.h"
+#include "mesh/decisions/requestpacer.h"
 
 #include <cstdint>
 #include <map>
@@ -52,13 +53,19 @@
  * Designed for a service at the bottom of the call trees that receives one and a half times its capacity, where an upstream that is sent
  * more than its slots stops responding. Requests wait here, where they can still be refused as not run. Nested calls of started call trees
  * are queued one rank more urgent than new root requests of the same rank, because refusing a nested call wastes the work of the whole call
- * tree. A request that can't finish in time by the measured run times is refused at once. Not thread-safe; the caller passes the time.
+ * tree. A request that can't finish in time by the measured run times is refused at once.
+ *
+ * An upstream may also name a limit of requests per second, when it is in trouble. Requests beyond it wait or are refused in the same way,
+ * and the reported slots shrink to those that the limit can keep busy, so that other nodes place less there and admit fewer call trees.
+ * Not thread-safe; the caller passes the time.
  */
 class SlotQueue
 {
 public:
     /** @param slots as announced by the upstream; 0 while it accepts no requests */
     void setSlots(std::uint32_t slots);
+    /** Sets the limit that the upstream names, in requests per second; nothing removes it. */
+    void setRateLimit(std::optional<double> requestsPerSecond, TimePoint now);
 
     SlotDecision offer(const SlotRequest &request, TimePoint now);
     /**
@@ -83,6 +90,14 @@
         return m_usableSlots;
     }
 
+    /** Slots that can be kept busy within the upstream's limit; the usable ones if there is no limit. */
+    std::uint32_t sustainableSlots() const;
+    /**
+     * Time for which a request occupies one of the sustainable slots, so that both together amount to the limit; zero if there is no limit
+     * or no slot.
+     */
+    Duration occupancyTime() const;
+
     std::size_t running() const
     {
         return m_running.size();
@@ -100,7 +115,10 @@
     /** @param queued the request doesn't start at once; then it needs the margin for queued requests */
     bool canFinish(const SlotRequest &request, TimePoint start, bool queued) const;
     Duration expectedWait(std::size_t ahead) const;
+    /** Takes a slot for a request if one is free and the limit allows it. */
+    bool tryStart(const SlotRequest &request, TimePoint now);
 
+    RequestPacer m_pacer;
     std::uint32_t m_usableSlots = 0;
     std::uint64_t m_nextPosition = 0;
     std::map<Position, SlotRequest> m_waiting;
--- a/modules/mesh/links/meshlink.cpp
+++ b/modules/mesh/links/meshlink.cpp
@@ -128,11 +128,19 @@
 void MeshLink::confirmAlive(const LoadReport &load)
 {
     m_confirmedAt = m_loop.now();
+    m_upstreamNotice.applyRelayed(load.notice);
     if (m_connection && m_confirmedAt - m_loadReportedAt > LoadReplacementAge) {
-        setLoad(load);
+        storeLoad(load);
     }
 }
 
+void MeshLink::storeLoad(const LoadReport &load)
+{
+    m_load = load;
+    m_loadReportedAt = m_loop.now();
+    m_callsSinceLoadReport = 0;
+}
+
 bool MeshLink::isReachable(TimePoint now, Duration maximumSilence) const
 {
     if (!m_connection) {
@@ -186,7 +194,9 @@
                                                                                           }
                                                                                       } });
             m_connection->start();
-            m_connection->send(m_handlers.makeHello());
+            HelloFrame hello = m_handlers.makeHello();
+            hello.receiverUpstream = m_upstreamNotice.notice();
+            m_connection->send(std::move(hello));
             m_disconnectedSince.reset();
             m_backoff.reset();
             Log.info("peer_connected", { { "peer", m_entry.node.text() }, { "address", m_entry.peerAddress.text() } });
--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/backoff.h"
+#include "mesh/decisions/upstreamnotices.h"
 #include "mesh/links/meshconnection.h"
 
 #include <unordered_map>
@@ -89,11 +90,11 @@
         return m_loadReportedAt;
     }
 
+    /** Applies a load that the peer itself has reported. */
     void setLoad(const LoadReport &load)
     {
-        m_load = load;
-        m_loadReportedAt = m_loop.now();
-        m_callsSinceLoadReport = 0;
+        storeLoad(load);
+        m_upstreamNotice.applyDirect(load.notice);
     }
 
     /** True if the peer can reach the store, according to its last status. */
@@ -134,6 +135,7 @@
     void checkLiveness(TimePoint now);
 
 private:
+    void storeLoad(const LoadReport &load);
     void connect();
     void handleFrame(MeshFrame &&frame);
     void handleDisconnected();
@@ -157,6 +159,7 @@
     std::uint64_t m_lastCallId = 0;
     std::unordered_map<std::uint64_t, ResultHandler> m_pendingCalls;
     LoadReport m_load;
+    RemoteNotice m_upstreamNotice;
     TimePoint m_loadReportedAt{};
     std::uint32_t m_callsSinceLoadReport = 0;
     bool m_watchesStore = false;
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -5,6 +5,7 @@
 #include "mesh/model/fleetstore.h"
 #include "mesh/model/servicework.h"
 #include "mesh/model/trafficrules.h"
+#include "mesh/model/upstreamnotice.h"
 #include "messages/call/httpmessages.h"
 #include "poison/crashtracker.h"
 
@@ -20,11 +21,13 @@
 /** First frame in both directions of a connection between nodes. */
 struct HelloFrame {
     DirectoryEntry sender;
+    /** What the sender keeps of the receiver's upstream. Precedes all requests, so that none outruns it after a restart of the receiver. */
+    UpstreamNotice receiverUpstream;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sender);
+        archive(sender, receiverUpstream);
     }
 };
 
@@ -134,6 +137,7 @@
 struct LoadReport {
     /** True if the upstream accepts new requests. */
     bool accepting = false;
+    /** Slots that can be kept busy, within the limit that the upstream may have named. */
     std::uint32_t slots = 0;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
@@ -143,13 +147,15 @@
     std::uint32_t runMicroseconds = 0;
     /** Moving average of the request outcomes; 0 is the worst, 255 the best. */
     std::uint8_t quality = 255;
+    /** What the upstream's responses say about it, for the other nodes to keep. */
+    UpstreamNotice notice;
 
     bool operator==(const LoadReport &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(accepting, slots, running, waiting, waitMilliseconds, runMicroseconds, quality);
+        archive(accepting, slots, running, waiting, waitMilliseconds, runMicroseconds, quality, notice);
     }
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -131,7 +131,7 @@
                                            },
                                             [](MeshLink &) {},
                                             [this] {
-                                                return HelloFrame{ ownEntry() };
+                                                return HelloFrame{ ownEntry(), {} };
                                             } },
                         [this] {
                             return watchesStore();
@@ -407,7 +407,7 @@
     *weakConnection = connection;
     m_inboundPeers.emplace(connection, InboundPeer());
     connection->start();
-    connection->send(HelloFrame{ ownEntry() });
+    connection->send(HelloFrame{ ownEntry(), {} });
 }
 
 void MeshNode::sendInitialStatus(const InboundConnection &connection, const DataCentreName &dataCentre)
@@ -432,6 +432,7 @@
             calls.erase(found);
         }
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
+        m_upstreamRunner.applyReport(hello->receiverUpstream);
         m_peerDirectory.add(hello->sender, false);
         sendInitialStatus(connection, hello->sender.dataCentre);
     } else if (const auto *ping = std::get_if<PingFrame>(&frame)) {
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -121,6 +121,9 @@
     const bool sameIncarnation = m_announced && incarnation == m_incarnation;
     const bool outdated = m_announced
         && (announcement.startedAt < m_announcement.startedAt || (sameIncarnation && announcement.sequence <= m_announcement.sequence));
+    if (!outdated && m_notices.isLeaving(incarnation)) {
+        m_departedIncarnation = incarnation;
+    }
     if (outdated || incarnation == m_departedIncarnation) {
         return !outdated || sameIncarnation;
     }
@@ -134,6 +137,7 @@
     m_incarnation = incarnation;
     if (!sameIncarnation) {
         m_notices.setIncarnation(incarnation);
+        m_queue.setRateLimit(m_notices.requestsPerSecond(), m_environment.loop.now());
     }
     m_announcement = announcement;
     m_coldStartUntil = m_environment.loop.now() + announcement.coldTime;
@@ -196,12 +200,14 @@
 {
     LoadReport report;
     report.accepting = isAccepting();
-    report.slots = m_queue.usableSlots();
+    report.slots = m_queue.sustainableSlots();
     report.running = static_cast<std::uint32_t>(m_queue.running());
     report.waiting = static_cast<std::uint32_t>(m_queue.waiting());
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_queue.expectedWait()).count();
     report.waitMilliseconds = m_queue.waiting() == 0 ? 0 : static_cast<std::uint32_t>(wait);
-    report.runMicroseconds = static_cast<std::uint32_t>(m_averageRunSeconds * 1e6);
+    const double occupancySeconds = std::chrono::duration<double>(m_queue.occupancyTime()).count();
+    report.runMicroseconds = static_cast<std::uint32_t>(std::max(m_averageRunSeconds, occupancySeconds) * 1e6);
+    report.notice = m_notices.notice();
     constexpr double QualityScale = 255;
     const double coldStartFactor = m_environment.loop.now() < m_coldStartUntil ? ColdStartQualityFactor : 1;
     report.quality = static_cast<std::uint8_t>(std::lround(m_averageQuality * coldStartFactor * QualityScale));
@@ -410,7 +416,7 @@
         m_environment.acceptingChanged();
         return replyWithoutResponse(RunOutcome::Rejected);
     }
-    applyNotice(message.headers, job);
+    recordNotice(message.headers, job);
     if (findHeader(message.headers, names.notRun) != nullptr) {
         return replyWithoutResponse(RunOutcome::Rejected);
     }
@@ -422,7 +428,7 @@
     return { RunOutcome::Answered, 0, std::move(message), {}, false };
 }
 
-void UpstreamRunner::applyNotice(const std::vector<HttpHeader> &headers, const Job &job)
+void UpstreamRunner::recordNotice(const std::vector<HttpHeader> &headers, const Job &job)
 {
     if (job.incarnation != m_incarnation) {
         return;
@@ -434,15 +440,39 @@
     }
     const UpstreamNotice previous = m_notices.notice();
     m_notices.recordResponse(*response, job.sentAt, m_environment.loop.clock().now());
+    applyNotice(previous, "response");
+}
+
+void UpstreamRunner::applyReport(const UpstreamNotice &report)
+{
+    const UpstreamNotice previous = m_notices.notice();
+    m_notices.applyReport(report);
+    if (m_announced) {
+        applyNotice(previous, "peer");
+    }
+}
+
+void UpstreamRunner::applyNotice(const UpstreamNotice &previous, std::string_view source)
+{
     const UpstreamNotice current = m_notices.notice();
     if (current.milliLimit != previous.milliLimit) {
         Log.info(current.milliLimit == 0 ? "upstream_limit_ended" : "upstream_limit_named",
                  { { "upstream", m_incarnation },
                    { "milli_requests_per_s", std::to_string(current.milliLimit) },
-                   { "previous", std::to_string(previous.milliLimit) } });
+                   { "previous", std::to_string(previous.milliLimit) },
+                   { "source", std::string(source) } });
+        m_queue.setRateLimit(m_notices.requestsPerSecond(), m_environment.loop.now());
+    }
+    const bool wasAccepting = isAccepting();
+    if (current.leaving && !m_announcement.draining) {
+        Log.info("upstream_leaving", { { "upstream", m_incarnation }, { "source", std::string(source) } });
+        m_announcement.draining = true;
+        m_departedIncarnation = m_incarnation;
+        applyState();
     }
-    if (current.leaving != previous.leaving) {
-        Log.info("upstream_leaving", { { "upstream", m_incarnation } });
+    const bool limitBeganOrEnded = (current.milliLimit == 0) != (previous.milliLimit == 0);
+    if (limitBeganOrEnded || wasAccepting != isAccepting()) {
+        m_environment.acceptingChanged();
     }
 }
 
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -44,7 +44,7 @@
         CrashTracker &crashes;
         BufferBudget &bufferBudget;
         MetricRegistry &metrics;
-        /** Called when the upstream starts or stops accepting requests. */
+        /** Called when the upstream starts or stops accepting requests, or its limit begins or ends. */
         std::function<void()> acceptingChanged;
     };
 
@@ -61,6 +61,8 @@
     bool depart(const std::string &id);
     /** Sets the incarnation that departed before this node was restarted; its late announcements are ignored. */
     void setDepartedIncarnation(const std::string &incarnation);
+    /** Applies what another node keeps of the upstream from the time before this node was restarted. */
+    void applyReport(const UpstreamNotice &report);
     /** Incarnation that departed last; empty if none has. */
     const std::string &departedIncarnation() const
     {
@@ -134,8 +136,10 @@
     RunReply exchangeOn(HttpConnection &connection, Job &job, bool &reusable, std::optional<Duration> &idleLimit);
     std::string serializeJobRequest(Job &job);
     RunReply classifyResponse(ReceivedResponse &&response, const Job &job, bool &stale);
-    /** Applies what a response to @p job says about the upstream. */
-    void applyNotice(const std::vector<HttpHeader> &headers, const Job &job);
+    /** Records what a response to @p job says about the upstream. */
+    void recordNotice(const std::vector<HttpHeader> &headers, const Job &job);
+    /** Puts the notice of the current incarnation in force. @param previous the notice before the change */
+    void applyNotice(const UpstreamNotice &previous, std::string_view source);
     std::unique_ptr<HttpConnection> takeIdleConnection(bool idempotent);
     void returnIdleConnection(std::unique_ptr<HttpConnection> connection, std::optional<Duration> idleLimit);
     void finish(const JobPointer &job, RunReply &&result);
