Don't take a refusal that an upstream sends once more for the refusal of a running request

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run although it ran, or it ran at a second upstream. It can happen here: LateRefusalTest failed, with orders that ran twice and orders that were reported as not run while they ran, when the refused request was retried on the same connection (the id is its own then), or when the refusal carries no id.

A connection now keeps the ids of the requests that were refused on it, and such a request is retried on another one. A response without an id counts only on a connection that carries its first request; otherwise the request may have run. UpstreamFaultTest also covers an upstream that ends its connection within the head of a response, which was handled already (502 or a retry, never a whole answer).

--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds MaximumNonIdempotentIdle(300);
 /** Late responses to earlier requests that are skipped on a connection. */
 constexpr int MaximumStaleResponses = 3;
+/** Bounds the ids that a connection keeps; a connection with more refusals is closed. */
+constexpr std::size_t MaximumRefusalsPerConnection = 32;
 /** Weight of one request in the averages of quality and run time. */
 constexpr double QualityWeight = 0.04;
 constexpr double RunTimeWeight = 0.05;
@@ -322,46 +324,50 @@
 RunReply UpstreamRunner::exchange(Job &job)
 {
     auto &loop = m_environment.loop;
-    auto connection = takeIdleConnection(job.frame.idempotent);
+    auto connection = takeIdleConnection(job);
     if (!connection) {
         auto socket =
             AsyncSocket::connect(loop, m_environment.settings.upstream, std::min(job.expiry, loop.clock().now() + ConnectTimeout));
         if (!socket) {
             return replyWithoutResponse(RunOutcome::Unreachable);
         }
-        connection = std::make_unique<HttpConnection>(std::move(*socket));
-        connection->countIn(m_environment.bufferBudget);
+        connection = UpstreamConnection{ std::make_unique<HttpConnection>(std::move(*socket)), false, {} };
+        connection->http->countIn(m_environment.bufferBudget);
     }
     if (job.cancelled) {
-        returnIdleConnection(std::move(connection), std::nullopt);
+        returnIdleConnection(std::move(*connection), std::nullopt);
         return replyWithoutResponse(RunOutcome::Leaving);
     }
     bool reusable = false;
     std::optional<Duration> idleLimit;
-    job.connection = connection.get();
+    job.connection = connection->http.get();
     auto result = exchangeOn(*connection, job, reusable, idleLimit);
     job.connection = nullptr;
-    if (reusable) {
-        returnIdleConnection(std::move(connection), idleLimit);
+    connection->used = true;
+    if (result.outcome == RunOutcome::Rejected) {
+        connection->refusedRequests.push_back(requestIdOf(job));
+    }
+    if (reusable && connection->refusedRequests.size() <= MaximumRefusalsPerConnection) {
+        returnIdleConnection(std::move(*connection), idleLimit);
     }
     return result;
 }
 
-RunReply UpstreamRunner::exchangeOn(HttpConnection &connection, Job &job, bool &reusable, std::optional<Duration> &idleLimit)
+RunReply UpstreamRunner::exchangeOn(UpstreamConnection &connection, Job &job, bool &reusable, std::optional<Duration> &idleLimit)
 {
     const TimePoint deadline = job.expiry + ResponseGracePeriod;
-    const auto sent = connection.socket().writeAll(serializeJobRequest(job), deadline);
+    const auto sent = connection.http->socket().writeAll(serializeJobRequest(job), deadline);
     if (!sent && sent.error().kind == ErrorKind::Timeout) {
         return replyWithoutResponse(RunOutcome::TimedOut);
     }
-    const std::string *requestId = findHeader(job.frame.request.headers, m_environment.headers.requestId);
     for (int n = 0; n <= MaximumStaleResponses; ++n) {
-        auto response = connection.readResponse(job.frame.request.method == "HEAD", m_environment.bufferBudget.limit(), true, deadline);
+        auto response =
+            connection.http->readResponse(job.frame.request.method == "HEAD", m_environment.bufferBudget.limit(), true, deadline);
         if (!response) {
             // The connection of a cancelled job was closed by this node, so the read error is expected.
             if (!job.cancelled) {
                 Log.info("answer_unreadable",
-                         { { "request", requestId == nullptr ? "" : *requestId },
+                         { { "request", requestIdOf(job) },
                            { "fault", std::string(ReadErrorNames.name(response.error())) },
                            { "held_bytes", std::to_string(m_environment.bufferBudget.reservedBytes()) } });
             }
@@ -370,13 +376,13 @@
         bool stale = false;
         const bool keepsOpen = response->reusable && n == 0;
         const auto limit = response->idleLimit;
-        auto result = classifyResponse(std::move(*response), job, stale);
+        auto result = classifyResponse(std::move(*response), job, connection.used, stale);
         if (!stale) {
             reusable = keepsOpen && result.outcome != RunOutcome::Broken;
             idleLimit = limit;
             return result;
         }
-        Log.warning("stale_answer", { { "request", requestId == nullptr ? "" : *requestId } });
+        Log.warning("stale_answer", { { "request", requestIdOf(job) } });
     }
     return replyWithoutResponse(RunOutcome::Broken);
 }
@@ -397,18 +403,21 @@
     return serializeRequest(job.frame.request, m_environment.settings.upstream.text());
 }
 
-RunReply UpstreamRunner::classifyResponse(ReceivedResponse &&response, const Job &job, bool &stale)
+RunReply UpstreamRunner::classifyResponse(ReceivedResponse &&response, const Job &job, bool mayBeLate, bool &stale)
 {
     constexpr std::uint16_t Misdirected = 421;
     constexpr std::uint16_t FirstRedirect = 300;
     const auto &names = m_environment.headers;
     auto &message = response.message;
     const auto *echoedId = findHeader(message.headers, names.requestId);
-    const auto *requestId = findHeader(job.frame.request.headers, names.requestId);
-    if (echoedId != nullptr && (requestId == nullptr || *echoedId != *requestId)) {
+    if (echoedId != nullptr && *echoedId != requestIdOf(job)) {
         stale = true;
         return {};
     }
+    if (echoedId == nullptr && mayBeLate) {
+        // It may be the refusal of an earlier request; this request may be running.
+        return replyWithoutResponse(RunOutcome::Broken);
+    }
     if (message.status == Misdirected) {
         Log.warning("upstream_misdirected", { { "expected", m_incarnation } });
         m_replaced = true;
@@ -476,26 +485,34 @@
     }
 }
 
-std::unique_ptr<HttpConnection> UpstreamRunner::takeIdleConnection(bool idempotent)
+std::string UpstreamRunner::requestIdOf(const Job &job) const
+{
+    const auto *id = findHeader(job.frame.request.headers, m_environment.headers.requestId);
+    return id == nullptr ? std::string() : *id;
+}
+
+std::optional<UpstreamRunner::UpstreamConnection> UpstreamRunner::takeIdleConnection(const Job &job)
 {
     const TimePoint now = m_environment.loop.now();
+    const std::string requestId = requestIdOf(job);
     while (!m_idleConnections.empty()) {
         auto &last = m_idleConnections.back();
-        const bool mayBeReused = idempotent || now - last.idleSince <= MaximumNonIdempotentIdle;
-        if (!mayBeReused) {
-            return nullptr;
+        const bool mayBeReused = job.frame.idempotent || now - last.idleSince <= MaximumNonIdempotentIdle;
+        const auto &refused = last.connection.refusedRequests;
+        if (!mayBeReused || std::find(refused.begin(), refused.end(), requestId) != refused.end()) {
+            return std::nullopt;
         }
         auto connection = std::move(last.connection);
-        const bool usable = now < last.usableUntil && connection->isIdle();
+        const bool usable = now < last.usableUntil && connection.http->isIdle();
         m_idleConnections.pop_back();
         if (usable) {
             return connection;
         }
     }
-    return nullptr;
+    return std::nullopt;
 }
 
-void UpstreamRunner::returnIdleConnection(std::unique_ptr<HttpConnection> connection, std::optional<Duration> idleLimit)
+void UpstreamRunner::returnIdleConnection(UpstreamConnection connection, std::optional<Duration> idleLimit)
 {
     const TimePoint now = m_environment.loop.now();
     const Duration limit = idleLimit.value_or(DefaultIdleTimeout) - IdleTimeoutMargin;
@@ -541,11 +558,10 @@
         return;
     }
     if (result.outcome != RunOutcome::Answered) {
-        const std::string *id = findHeader(job.frame.request.headers, m_environment.headers.requestId);
         const auto elapsed =
             std::chrono::duration_cast<std::chrono::milliseconds>(m_environment.loop.clock().now() - job.startedAt).count();
         Log.info("run_failed",
-                 { { "request", id == nullptr ? std::string() : *id },
+                 { { "request", requestIdOf(job) },
                    { "outcome", std::string(RunOutcomeNames.name(result.outcome)) },
                    { "upstream", m_incarnation },
                    { "run_ms", std::to_string(elapsed) },
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -120,8 +120,17 @@
     };
     using JobPointer = std::shared_ptr<Job>;
 
+    /** A connection to the upstream, with what it carried before. */
+    struct UpstreamConnection {
+        std::unique_ptr<HttpConnection> http;
+        /** True if an earlier request was sent on it; a response without a request id may then be a late one. */
+        bool used = false;
+        /** Requests that were refused on it. The upstream may send such a refusal once more, so they are retried on other connections. */
+        std::vector<std::string> refusedRequests;
+    };
+
     struct IdleConnection {
-        std::unique_ptr<HttpConnection> connection;
+        UpstreamConnection connection;
         TimePoint usableUntil{};
         TimePoint idleSince{};
     };
@@ -133,15 +142,18 @@
     void start(const JobPointer &job);
     void run(const JobPointer &job);
     RunReply exchange(Job &job);
-    RunReply exchangeOn(HttpConnection &connection, Job &job, bool &reusable, std::optional<Duration> &idleLimit);
+    RunReply exchangeOn(UpstreamConnection &connection, Job &job, bool &reusable, std::optional<Duration> &idleLimit);
     std::string serializeJobRequest(Job &job);
-    RunReply classifyResponse(ReceivedResponse &&response, const Job &job, bool &stale);
+    /** @param mayBeLate true if a response without a request id may belong to an earlier request */
+    RunReply classifyResponse(ReceivedResponse &&response, const Job &job, bool mayBeLate, bool &stale);
     /** Records what a response to @p job says about the upstream. */
     void recordNotice(const std::vector<HttpHeader> &headers, const Job &job);
     /** Puts the notice of the current incarnation in force. @param previous the notice before the change */
     void applyNotice(const UpstreamNotice &previous, std::string_view source);
-    std::unique_ptr<HttpConnection> takeIdleConnection(bool idempotent);
-    void returnIdleConnection(std::unique_ptr<HttpConnection> connection, std::optional<Duration> idleLimit);
+    std::optional<UpstreamConnection> takeIdleConnection(const Job &job);
+    void returnIdleConnection(UpstreamConnection connection, std::optional<Duration> idleLimit);
+    /** Id of the caller's request; empty if it has none. */
+    std::string requestIdOf(const Job &job) const;
     void finish(const JobPointer &job, RunReply &&result);
     void recordResult(const Job &job, const RunReply &result);
     void refuse(std::uint64_t ticket, RunOutcome outcome);
--- a/testing/standins/mesh/scriptedupstream.cpp
+++ b/testing/standins/mesh/scriptedupstream.cpp
@@ -18,6 +18,12 @@
 constexpr Duration LongSilence = 1h;
 constexpr Duration IdleTime = 10s;
 
+bool isRefusal(UpstreamAct act)
+{
+    return act == UpstreamAct::Refuse || act == UpstreamAct::RefuseAgainLate || act == UpstreamAct::RefuseAnonymouslyAgainLate
+        || act == UpstreamAct::Misdirect;
+}
+
 } // namespace
 
 ScriptedUpstream::ScriptedUpstream(EventLoop &loop, HeaderNames headers, std::string id)
@@ -70,20 +76,15 @@
             return;
         }
         const auto script = m_script ? m_script(received->message) : UpstreamScript{};
-        if (script.act == UpstreamAct::Refuse || script.act == UpstreamAct::Misdirect) {
-            HttpResponseMessage response;
-            response.status = script.act == UpstreamAct::Refuse ? ServiceUnavailable : Misdirected;
-            response.headers.push_back({ m_headers.notRun, "1" });
-            response.headers.push_back({ m_headers.upstreamId, m_id });
-            response.headers.insert(response.headers.end(), script.headers.begin(), script.headers.end());
-            if (!connection->socket().writeAll(serializeResponse(response, true, false), m_loop.clock().now() + IdleTime)) {
+        if (const auto late = m_lateAnswers.extract(connection.get())) {
+            (void)connection->socket().writeAll(late.mapped(), m_loop.clock().now() + IdleTime);
+        }
+        if (isRefusal(script.act)) {
+            if (!refuse(*connection, received->message, script)) {
                 return;
             }
             continue;
         }
-        if (const auto late = m_lateAnswers.extract(connection.get())) {
-            (void)connection->socket().writeAll(late.mapped(), m_loop.clock().now() + IdleTime);
-        }
         m_runs.push_back({ received->message, m_loop.now(), std::nullopt, false });
         auto &run = m_runs.back();
         m_mostRunning = std::max(m_mostRunning, ++m_running);
@@ -96,6 +97,24 @@
     }
 }
 
+bool ScriptedUpstream::refuse(HttpConnection &connection, const HttpRequestMessage &request, const UpstreamScript &script)
+{
+    HttpResponseMessage response;
+    response.status = script.act == UpstreamAct::Misdirect ? Misdirected : ServiceUnavailable;
+    response.headers.push_back({ m_headers.notRun, "1" });
+    response.headers.push_back({ m_headers.upstreamId, m_id });
+    if (script.act != UpstreamAct::RefuseAnonymouslyAgainLate) {
+        const auto *id = findHeader(request.headers, m_headers.requestId);
+        response.headers.push_back({ m_headers.requestId, id == nullptr ? "" : *id });
+    }
+    response.headers.insert(response.headers.end(), script.headers.begin(), script.headers.end());
+    const std::string bytes = serializeResponse(response, true, false);
+    if (script.act == UpstreamAct::RefuseAgainLate || script.act == UpstreamAct::RefuseAnonymouslyAgainLate) {
+        m_lateAnswers[&connection] = bytes;
+    }
+    return connection.socket().writeAll(bytes, m_loop.clock().now() + IdleTime).has_value();
+}
+
 bool ScriptedUpstream::act(HttpConnection &connection, const HttpRequestMessage &request, const UpstreamScript &script, UpstreamRun &run)
 {
     const TimePoint end = m_loop.clock().now() + (script.act == UpstreamAct::Silence ? LongSilence : script.runTime);
@@ -130,6 +149,11 @@
         (void)connection.socket().writeAll(std::string_view(bytes).substr(0, bytes.size() - 3), deadline);
         connection.socket().close();
         return false;
+    case UpstreamAct::BreakOffInHead:
+        // The last header line is complete, the blank line that ends the head is missing.
+        (void)connection.socket().writeAll(std::string_view(bytes).substr(0, bytes.find("\r\n\r\n") + 2), deadline);
+        connection.socket().close();
+        return false;
     case UpstreamAct::Garbage:
         (void)connection.socket().writeAll("\x01\x02 no answer\r\n\r\n", deadline);
         return true;
--- a/testing/standins/mesh/scriptedupstream.h
+++ b/testing/standins/mesh/scriptedupstream.h
@@ -24,7 +24,10 @@
     Garbage, ///< bytes that are no answer
     Endless, ///< a beginning, then the same bytes until the caller closes
     AnswerAgainLate, ///< a second, unasked answer follows when the connection is in use again
+    BreakOffInHead, ///< the status line and whole header lines, then an end of the connection before the end of the head
     Refuse, ///< not run, and says so
+    RefuseAgainLate, ///< not run, and says so; says it once more when the connection is in use again
+    RefuseAnonymouslyAgainLate, ///< as RefuseAgainLate, but the refusals don't say to which request they belong
     Misdirect, ///< another incarnation has the address
 };
 
@@ -87,6 +90,8 @@
 
 private:
     void serve(const std::shared_ptr<HttpConnection> &connection);
+    /** Sends a refusal; returns false if the connection has failed. */
+    bool refuse(HttpConnection &connection, const HttpRequestMessage &request, const UpstreamScript &script);
     bool act(HttpConnection &connection, const HttpRequestMessage &request, const UpstreamScript &script, UpstreamRun &run);
     void sendEndlessly(HttpConnection &connection, const std::string &answer, const UpstreamScript &script);
     std::string answerBytes(const HttpRequestMessage &request, const UpstreamScript &script) const;
@@ -100,7 +105,7 @@
     std::size_t m_running = 0;
     std::size_t m_mostRunning = 0;
     std::vector<std::weak_ptr<HttpConnection>> m_connections;
-    /** Answers that AnswerAgainLate sends once more, by their connection. */
+    /** Answers and refusals that are sent once more, by their connection. */
     std::map<const HttpConnection *, std::string> m_lateAnswers;
 };
 
