--- a/testing/standins/mesh/rowstore.cpp
+++ b/testing/standins/mesh/rowstore.cpp
@@ -112,6 +112,17 @@
     }
 }
 
+void RowStore::putUnreadable(const std::string &table, const std::string &key)
+{
+    m_unreadableRows.insert({ table, key });
+    put(table, key, {});
+}
+
+std::string RowStore::encodedValue(const RowKey &key) const
+{
+    return m_unreadableRows.contains(key) ? "*" : encodeBase64(m_rows.at(key).value);
+}
+
 HttpResponseMessage RowStore::handle(const HttpRequestMessage &request, std::size_t entrance)
 {
     const Call call{ ++m_calls, entrance };
@@ -149,7 +160,7 @@
         object->set("table", key.first);
         object->set("part", "");
         object->set("key", key.second);
-        object->set("value", encodeBase64(row.value));
+        object->set("value", encodedValue(key));
         object->set("ver", row.version);
         rows.add(object);
     }
@@ -186,7 +197,7 @@
             if (it->removed) {
                 object->set("removed", true);
             } else {
-                object->set("value", encodeBase64(m_rows.at({ it->table, it->key }).value));
+                object->set("value", encodedValue({ it->table, it->key }));
             }
             rows.add(object);
         }
--- a/testing/standins/mesh/rowstore.h
+++ b/testing/standins/mesh/rowstore.h
@@ -55,6 +55,8 @@
     /** The value of a row, or nothing. */
     std::optional<std::string> value(const std::string &table, const std::string &key) const;
     void remove(const std::string &table, const std::string &key);
+    /** Writes a row whose value isn't valid Base64. */
+    void putUnreadable(const std::string &table, const std::string &key);
 
     RowStoreFaults &faults()
     {
@@ -107,7 +109,10 @@
     std::size_t m_lastAbandonedCall = 0;
     RowStoreFaults m_faults;
     std::uint64_t m_version = 1;
+    std::string encodedValue(const RowKey &key) const;
+
     std::map<RowKey, Row> m_rows;
+    std::set<RowKey> m_unreadableRows;
     std::vector<Change> m_changes;
     std::size_t m_calls = 0;
     std::map<std::string, std::size_t> m_feedsWithRows;
