--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -321,34 +321,44 @@
     finish(job, std::move(result));
 }
 
-RunReply UpstreamRunner::exchange(Job &job)
+std::optional<UpstreamRunner::UpstreamConnection> UpstreamRunner::openConnection(const Job &job)
 {
     auto &loop = m_environment.loop;
-    auto connection = takeIdleConnection(job);
-    if (!connection) {
-        auto socket =
-            AsyncSocket::connect(loop, m_environment.settings.upstream, std::min(job.expiry, loop.clock().now() + ConnectTimeout));
-        if (!socket) {
-            return replyWithoutResponse(RunOutcome::Unreachable);
-        }
-        connection = UpstreamConnection{ std::make_unique<HttpConnection>(std::move(*socket)), false, {} };
-        connection->http->countIn(m_environment.bufferBudget);
+    auto socket = AsyncSocket::connect(loop, m_environment.settings.upstream, std::min(job.expiry, loop.clock().now() + ConnectTimeout));
+    if (!socket) {
+        return std::nullopt;
+    }
+    UpstreamConnection connection;
+    connection.http = std::make_unique<HttpConnection>(std::move(*socket));
+    connection.http->countIn(m_environment.bufferBudget);
+    return connection;
+}
+
+RunReply UpstreamRunner::exchange(Job &job)
+{
+    auto available = takeIdleConnection(job);
+    if (!available) {
+        available = openConnection(job);
+    }
+    if (!available) {
+        return replyWithoutResponse(RunOutcome::Unreachable);
     }
+    UpstreamConnection connection = std::move(*available);
     if (job.cancelled) {
-        returnIdleConnection(std::move(*connection), std::nullopt);
+        returnIdleConnection(std::move(connection), std::nullopt);
         return replyWithoutResponse(RunOutcome::Leaving);
     }
     bool reusable = false;
     std::optional<Duration> idleLimit;
-    job.connection = connection->http.get();
-    auto result = exchangeOn(*connection, job, reusable, idleLimit);
+    job.connection = connection.http.get();
+    auto result = exchangeOn(connection, job, reusable, idleLimit);
     job.connection = nullptr;
-    connection->used = true;
+    connection.used = true;
     if (result.outcome == RunOutcome::Rejected) {
-        connection->refusedRequests.push_back(requestIdOf(job));
+        connection.refusedRequests.push_back(requestIdOf(job));
     }
-    if (reusable && connection->refusedRequests.size() <= MaximumRefusalsPerConnection) {
-        returnIdleConnection(std::move(*connection), idleLimit);
+    if (reusable && connection.refusedRequests.size() <= MaximumRefusalsPerConnection) {
+        returnIdleConnection(std::move(connection), idleLimit);
     }
     return result;
 }
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -151,6 +151,8 @@
     /** Puts the notice of the current incarnation in force. @param previous the notice before the change */
     void applyNotice(const UpstreamNotice &previous, std::string_view source);
     std::optional<UpstreamConnection> takeIdleConnection(const Job &job);
+    /** Returns nothing if the upstream accepts no connection in time. */
+    std::optional<UpstreamConnection> openConnection(const Job &job);
     void returnIdleConnection(UpstreamConnection connection, std::optional<Duration> idleLimit);
     /** Id of the caller's request; empty if it has none. */
     std::string requestIdOf(const Job &job) const;
