Log the era and the revision of what a node reads from the store and writes there

The store names the era of its history in each answer. Positions carry it from now on, so that logs distinguish a node that reads the new history from one that goes on waiting in the old one. No decision changes.

--- a/modules/mesh/model/fleetstore.h
+++ b/modules/mesh/model/fleetstore.h
@@ -50,21 +50,32 @@
 
 using DirectoryChange = std::variant<DirectoryEntry, DirectoryRemoval>;
 
+/** Number of a history of the store, which rises each time that the store comes back from a copy; 0 if the store doesn't name it. */
+using StoreEra = std::uint64_t;
+
+/** Point in a history of the store from which changes can be watched. A later era gives out the same revisions again. */
+struct StorePosition {
+    StoreEra era = 0;
+    std::uint64_t revision = 0;
+
+    bool operator==(const StorePosition &) const = default;
+};
+
 struct DirectoryState {
     std::vector<DirectoryEntry> entries;
     /** Position from which to watch for changes. */
-    std::uint64_t position = 0;
+    StorePosition position;
 };
 
 struct DirectoryChanges {
     std::vector<DirectoryChange> changes;
-    std::uint64_t position = 0;
+    StorePosition position;
 };
 
 struct RulesState {
     /** Nothing if the store has no valid rules. */
     std::optional<TrafficRules> rules;
-    std::uint64_t position = 0;
+    StorePosition position;
 };
 
 /** Time limits of a watch call. */
@@ -88,13 +99,16 @@
 
     virtual Result<RulesState> readRules() = 0;
     /** Waits for rules newer than @p position; returns an empty state if there are none. */
-    virtual Result<RulesState> watchRules(std::uint64_t position, const WatchLimits &limits) = 0;
+    virtual Result<RulesState> watchRules(const StorePosition &position, const WatchLimits &limits) = 0;
     virtual Result<DirectoryState> readDirectory() = 0;
-    virtual Result<DirectoryChanges> watchDirectory(std::uint64_t position, const WatchLimits &limits) = 0;
-    /** Writes @p entry, replacing the entry of the same peer address. */
-    virtual Result<void> publish(const DirectoryEntry &entry) = 0;
-    /** Removes the entry of @p entry's peer address if it still has the same incarnation. Errors: Conflict if it hasn't. */
-    virtual Result<void> withdraw(const DirectoryEntry &entry) = 0;
+    virtual Result<DirectoryChanges> watchDirectory(const StorePosition &position, const WatchLimits &limits) = 0;
+    /** Writes @p entry, replacing the entry of the same peer address. Returns the era in which it was written. */
+    virtual Result<StoreEra> publish(const DirectoryEntry &entry) = 0;
+    /**
+     * Removes the entry of @p entry's peer address if it still has the same incarnation. Returns the era in which it was removed.
+     * Errors: Conflict if it hasn't that incarnation.
+     */
+    virtual Result<StoreEra> withdraw(const DirectoryEntry &entry) = 0;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -76,7 +76,7 @@
 {
     auto &loop = m_environment.loop;
     Backoff backoff = storeBackoff();
-    std::uint64_t position = 0;
+    StorePosition position;
     while (!m_left) {
         // Changes up to this node's own entry must be read here: the nodes that forward changes didn't know this node yet.
         if (m_published && m_directoryRead && m_ownEntrySeen && !m_environment.watchesStore()) {
@@ -94,7 +94,7 @@
     }
 }
 
-Result<void> PeerDirectory::readOrWatchOnce(std::uint64_t &position)
+Result<void> PeerDirectory::readOrWatchOnce(StorePosition &position)
 {
     if (!m_directoryRead) {
         const auto state = m_environment.store.readDirectory();
@@ -102,6 +102,11 @@
             return tl::unexpected(state.error());
         }
         position = state->position;
+        Log.info("directory_read",
+                 { { "era", std::to_string(position.era) },
+                   { "revision", std::to_string(position.revision) },
+                   { "entries", std::to_string(state->entries.size()) },
+                   { "known", std::to_string(nodeCount()) } });
         applyAll(state->entries);
         m_directoryRead = true;
         (void)awaitWritten(m_environment.loop.now() + FirstWriteTimeout);
@@ -148,11 +153,14 @@
     while (m_writePending) {
         m_writePending = false;
         const auto entry = m_environment.ownEntry();
-        if (const auto published = m_environment.store.publish(entry); !published) {
+        const auto published = m_environment.store.publish(entry);
+        if (!published) {
             Log.warning("publish_failed", { { "error", published.error().describe() } });
             m_writePending = true;
             m_environment.loop.sleepFor(backoff.next());
+            continue;
         }
+        Log.info("entry_written", { { "era", std::to_string(*published) }, { "departed", entry.departedUpstream } });
     }
     m_writing = false;
     m_published = true;
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -83,7 +83,7 @@
 private:
     void watch();
     /** Reads or watches the directory once. Errors: those of the store call. */
-    Result<void> readOrWatchOnce(std::uint64_t &position);
+    Result<void> readOrWatchOnce(StorePosition &position);
     void write();
     void applyAll(const std::vector<DirectoryEntry> &entries);
     void apply(const DirectoryChange &change);
--- a/modules/mesh/node/ruleswatcher.cpp
+++ b/modules/mesh/node/ruleswatcher.cpp
@@ -48,7 +48,7 @@
     auto &loop = m_environment.loop;
     const TimePoint linksSetUpAt = loop.now() + LinkSetupTime;
     Backoff backoff = storeBackoff();
-    std::optional<std::uint64_t> position;
+    std::optional<StorePosition> position;
     while (!m_stopped) {
         const bool isDue = loop.now() >= linksSetUpAt && m_plan.isDue(m_environment.ownRole(), m_environment.localPeers(), loop.now());
         if (position && !isDue) {
@@ -70,11 +70,12 @@
     }
 }
 
-Result<void> RulesWatcher::readOrWatchOnce(std::optional<std::uint64_t> &position)
+Result<void> RulesWatcher::readOrWatchOnce(std::optional<StorePosition> &position)
 {
     const TimePoint calledAt = m_environment.loop.now();
     const WatchLimits limits = position ? m_plan.limits(m_environment.statusInterval()) : WatchLimits{};
-    const auto state = position ? m_environment.store.watchRules(*position, limits) : m_environment.store.readRules();
+    const bool reads = !position;
+    const auto state = reads ? m_environment.store.readRules() : m_environment.store.watchRules(*position, limits);
     if (!state) {
         m_plan.recordFailure(state.error().kind == ErrorKind::Timeout);
         if (state.error().kind == ErrorKind::NotFound) {
@@ -83,6 +84,13 @@
         return tl::unexpected(state.error());
     }
     position = state->position;
+    if (reads) {
+        Log.info("rules_read",
+                 { { "era", std::to_string(position->era) },
+                   { "revision", std::to_string(position->revision) },
+                   { "version", state->rules ? std::to_string(state->rules->version) : "" },
+                   { "in_force", std::to_string(version()) } });
+    }
     m_plan.recordAnswer(limits, state->rules.has_value(), calledAt, m_environment.loop.now());
     if (state->rules && state->rules->version > version()) {
         apply(*state->rules, "store");
--- a/modules/mesh/node/ruleswatcher.h
+++ b/modules/mesh/node/ruleswatcher.h
@@ -88,7 +88,7 @@
 private:
     void watch();
     /** Reads or watches the rules once; @p position has no value until they have been read. Errors: those of the store call. */
-    Result<void> readOrWatchOnce(std::optional<std::uint64_t> &position);
+    Result<void> readOrWatchOnce(std::optional<StorePosition> &position);
     /** Logs that this node starts or stops reading the rules for its data centre. */
     void logRole(bool watches);
 
