Show that nodes go on in a history that the store no longer has after it came back from a copy

The stand-in for the store can be restored from a copy of a chosen age: versions go back and are given out again, feeds from a version that it doesn't have get 410, the era rises.

--- a/testing/standins/mesh/rowstore.cpp
+++ b/testing/standins/mesh/rowstore.cpp
@@ -96,7 +96,7 @@
 void RowStore::put(const std::string &table, const std::string &key, const std::string &value)
 {
     m_rows[{ table, key }] = { value, ++m_version };
-    m_changes.push_back({ m_version, table, key, false });
+    m_changes.push_back({ m_version, table, key, value, false, m_loop.clock().now() });
 }
 
 std::optional<std::string> RowStore::value(const std::string &table, const std::string &key) const
@@ -108,7 +108,33 @@
 void RowStore::remove(const std::string &table, const std::string &key)
 {
     if (m_rows.erase({ table, key }) != 0) {
-        m_changes.push_back({ ++m_version, table, key, true });
+        m_changes.push_back({ ++m_version, table, key, {}, true, m_loop.clock().now() });
+    }
+}
+
+void RowStore::restore(Duration age)
+{
+    const TimePoint copiedAt = m_loop.clock().now() - age;
+    std::erase_if(m_changes, [copiedAt](const Change &it) {
+        return it.at > copiedAt;
+    });
+    m_rows.clear();
+    m_version = 1;
+    for (const auto &it : m_changes) {
+        m_version = it.version;
+        if (it.removed) {
+            m_rows.erase({ it.table, it.key });
+        } else {
+            m_rows[{ it.table, it.key }] = { it.value, it.version };
+        }
+    }
+    ++m_era;
+}
+
+void RowStore::fillUpTo(std::uint64_t version)
+{
+    while (m_version < version) {
+        put("other", "row", {});
     }
 }
 
@@ -125,7 +151,13 @@
 
 HttpResponseMessage RowStore::handle(const HttpRequestMessage &request, std::size_t entrance)
 {
-    const Call call{ ++m_calls, entrance };
+    auto response = answer(request, { ++m_calls, entrance });
+    response.headers.push_back({ "Store-Era", std::to_string(m_era) });
+    return response;
+}
+
+HttpResponseMessage RowStore::answer(const HttpRequestMessage &request, const Call &call)
+{
     awaitAnswer(call);
     if (m_faults.delay > Duration::zero()) {
         m_loop.sleepFor(m_faults.delay);
@@ -152,10 +184,15 @@
 HttpResponseMessage RowStore::get(const std::map<std::string, std::string> &query) const
 {
     Poco::JSON::Array rows;
+    bool hasMore = false;
     for (const auto &[key, row] : m_rows) {
         if (key.first != query.at("table") || key.second < query.at("from")) {
             continue;
         }
+        if (m_faults.rowsPerPage > 0 && rows.size() == m_faults.rowsPerPage) {
+            hasMore = true;
+            break;
+        }
         Poco::JSON::Object::Ptr object = new Poco::JSON::Object; // NOLINT(cppcoreguidelines-owning-memory) owned by Poco's pointer
         object->set("table", key.first);
         object->set("part", "");
@@ -166,7 +203,7 @@
     }
     Poco::JSON::Object body;
     body.set("rows", rows);
-    body.set("hasMore", false);
+    body.set("hasMore", hasMore);
     body.set("ver", m_version);
     return jsonResponse(body);
 }
@@ -177,7 +214,7 @@
     const TimePoint end = m_loop.clock().now() + std::chrono::milliseconds(std::stoll(query.at("waitMs")));
     while (true) {
         awaitAnswer(call);
-        if (m_faults.historyGone) {
+        if (m_faults.historyGone || after > m_version) {
             return textResponse(Gone);
         }
         if (m_faults.down) {
--- a/testing/standins/mesh/rowstore.h
+++ b/testing/standins/mesh/rowstore.h
@@ -24,6 +24,8 @@
     Duration delay{};
     /** Feeds get 410. */
     bool historyGone = false;
+    /** Rows in one answer of a read; 0 for no limit. */
+    std::size_t rowsPerPage = 0;
 };
 
 /** A stand-in for the platform's store of rows: get, feed and transactions over HTTP with JSON, as the platform's pages describe them. */
@@ -55,6 +57,24 @@
     /** The value of a row, or nothing. */
     std::optional<std::string> value(const std::string &table, const std::string &key) const;
     void remove(const std::string &table, const std::string &key);
+    /**
+     * Brings the rows back as they were @p age ago and starts a new era. Versions that were given out since are given out again, and feeds
+     * that are open go on waiting after the version they have named.
+     */
+    void restore(Duration age);
+    /** Writes rows of a table that nodes don't read until the store's version is at least @p version. */
+    void fillUpTo(std::uint64_t version);
+
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+    std::uint64_t era() const
+    {
+        return m_era;
+    }
+
     /** Writes a row whose value isn't valid Base64. */
     void putUnreadable(const std::string &table, const std::string &key);
 
@@ -85,7 +105,9 @@
         std::uint64_t version = 0;
         std::string table;
         std::string key;
+        std::string value;
         bool removed = false;
+        TimePoint at{};
     };
     using RowKey = std::pair<std::string, std::string>;
     /** A call in progress: its position in the order of all calls, and the entrance through which it came. */
@@ -95,6 +117,7 @@
     };
 
     HttpResponseMessage handle(const HttpRequestMessage &request, std::size_t entrance);
+    HttpResponseMessage answer(const HttpRequestMessage &request, const Call &call);
     HttpResponseMessage get(const std::map<std::string, std::string> &query) const;
     HttpResponseMessage feed(const Call &call, const std::map<std::string, std::string> &query);
     /** Waits for as long as a test may last if the call is to get no answer. */
@@ -109,6 +132,7 @@
     std::size_t m_lastAbandonedCall = 0;
     RowStoreFaults m_faults;
     std::uint64_t m_version = 1;
+    std::uint64_t m_era = 1;
     std::string encodedValue(const RowKey &key) const;
 
     std::map<RowKey, Row> m_rows;
