Keep connected nodes when a full read of the directory doesn't list them

Rows are missing or old where the store came back from a copy, and also while a node can't write. Now a node without a row is removed only while it isn't connected, 2.5 s after the read at the earliest, and rows replace only what is known of nodes that aren't connected; a node's own word on the connection always applies, whatever the clock of its predecessor said.

Seen failing before: LiveNodesStayReachable (Away, CallsOpen: 0 of 8 nodes reachable), EntryOfAnEarlierNodeDoesNotReplaceAConnectedOne (34 of 100 requests refused). Both pass now; MeshPathTest and mesh_tests unchanged.

--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -475,7 +475,7 @@
     } else if (const auto *rules = std::get_if<RulesFrame>(&frame)) {
         m_rulesWatcher.apply(rules->rules, link.entry().node.text());
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
-        if (hello->sender.peerAddress == link.entry().peerAddress && hello->sender.incarnation >= link.entry().incarnation) {
+        if (hello->sender.peerAddress == link.entry().peerAddress) {
             link.setEntry(hello->sender);
         }
     }
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -23,6 +23,8 @@
 constexpr WatchLimits DirectoryWatch{ std::chrono::seconds(25), std::chrono::seconds(2) };
 /** After a failed call, so that a recovery is noticed without waiting for a change. */
 constexpr WatchLimits DirectoryProbe{ Duration::zero(), std::chrono::seconds(2) };
+/** Time after a full read within which a live node that the store doesn't list has written its entry, or has connected. */
+constexpr std::chrono::milliseconds EntryReturnTime(2500);
 /** The store entry of a node that has been unreachable for this long is removed. */
 constexpr std::chrono::seconds DeadPeerTimeout(60);
 constexpr std::chrono::milliseconds WrittenCheckInterval(5);
@@ -174,15 +176,13 @@
         keys.insert(keyOf(it));
         apply(it);
     }
-    std::vector<std::string> removed;
+    // A node may be alive without an entry: it couldn't write it yet, or the store lost it.
+    const TimePoint removableFrom = m_environment.loop.now() + EntryReturnTime;
     for (const auto &[key, link] : m_links) {
         if (!keys.contains(key)) {
-            removed.push_back(key);
+            m_missingKeys.emplace(key, removableFrom);
         }
     }
-    for (const auto &it : removed) {
-        remove(it);
-    }
     if (!m_left && (!m_published || !keys.contains(ownKey))) {
         publish();
     }
@@ -213,7 +213,7 @@
     const auto found = removal == nullptr ? m_links.end() : m_links.find(removal->key);
     if (found != m_links.end() && !found->second->disconnectedSince()) {
         // A forwarded removal may be outdated because the node has restarted since. Keep the node while its connection is alive.
-        m_withdrawnKeys.insert(removal->key);
+        m_missingKeys.emplace(removal->key, m_environment.loop.now());
         return;
     }
     apply(change);
@@ -247,10 +247,12 @@
     if (key == keyOf(m_environment.ownEntry())) {
         return;
     }
-    m_withdrawnKeys.erase(key);
+    m_missingKeys.erase(key);
     const auto found = m_links.find(key);
     if (found != m_links.end()) {
-        if (!(found->second->entry() == entry) && (fromStore || entry.incarnation > found->second->entry().incarnation)) {
+        // A connected node has told its entry itself; the store's may be of an earlier process.
+        const bool replaces = fromStore && found->second->disconnectedSince();
+        if (!(found->second->entry() == entry) && (replaces || entry.incarnation > found->second->entry().incarnation)) {
             found->second->setEntry(entry);
         }
         return;
@@ -286,16 +288,18 @@
     for (const auto &[key, link] : std::map(m_links)) {
         link->checkLiveness(now);
     }
-    removeWithdrawn();
+    removeMissing(now);
     removeDead(now);
 }
 
-void PeerDirectory::removeWithdrawn()
+void PeerDirectory::removeMissing(TimePoint now)
 {
-    for (const auto &key : std::set(m_withdrawnKeys)) {
+    for (const auto &[key, removableFrom] : std::map(m_missingKeys)) {
         const auto found = m_links.find(key);
-        if (found == m_links.end() || found->second->disconnectedSince()) {
-            m_withdrawnKeys.erase(key);
+        if (found == m_links.end()) {
+            m_missingKeys.erase(key);
+        } else if (found->second->disconnectedSince() && now >= removableFrom) {
+            m_missingKeys.erase(key);
             remove(key);
         }
     }
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace Pimentohollow
@@ -89,14 +88,14 @@
     void apply(const DirectoryChange &change);
     void applyOwn(const DirectoryEntry &entry);
     void remove(const std::string &key);
-    void removeWithdrawn();
+    void removeMissing(TimePoint now);
     void removeDead(TimePoint now);
     void withdraw(const DirectoryEntry &entry, std::string_view event);
 
     Environment m_environment;
     std::map<std::string, std::shared_ptr<MeshLink>> m_links;
-    /** Keys of nodes whose removal from the store was forwarded while they were still connected. */
-    std::set<std::string> m_withdrawnKeys;
+    /** Keys of known nodes that have no entry in the store, and the time from which they are removed unless they are connected. */
+    std::map<std::string, TimePoint> m_missingKeys;
     bool m_directoryRead = false;
     /** True if the last directory call to the store failed. */
     bool m_lastCallFailed = false;
