Give up positions of the store's changes when the store comes back from a copy

Callers get answers by outdated rules, or 404 for a new route: a node waited for changes after a revision of the old history, which the new one had given out again meanwhile, so that no 410 came and the changes in between were never seen. The class of fault: a claim about the store without the history in which it holds. EraCheckedStore owns that now: it returns only what holds in the newest era, which it learns from each answer and from the statuses of other nodes, and a node whose feed waits in an earlier era reads everything again without waiting for its end. Pages of one read are of one era.

Seen failing before: RulesOfTheNewEraAreInForceWithinTheDeadline (the four cases where the known versions were passed), PagesOfTwoErasAreNotCombined. A 410 no longer counts as a store that doesn't answer.

--- a/modules/mesh/mesh.h
+++ b/modules/mesh/mesh.h
@@ -19,4 +19,5 @@
 #include "mesh/model/meshsettings.h"
 #include "mesh/model/trafficrules.h"
 #include "mesh/model/upstreamreport.h"
+#include "mesh/node/eracheckedstore.h"
 #include "mesh/node/meshnode.h"
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -240,6 +240,8 @@
     std::uint64_t rulesVersion = 0;
     /** Time in ms since the store confirmed that there are no rules newer than rulesVersion. Not used in a digest. */
     std::uint32_t rulesConfirmedMillisecondsAgo = 0;
+    /** Newest era of the store that the sender knows. */
+    StoreEra storeEra = 0;
     /** True if the sender reaches the store, so that it can watch the store for other nodes. */
     bool watchesStore = false;
     /** True if the sender has received statuses for long enough to report for its data centre. */
@@ -257,6 +259,7 @@
                 firstNameIndex,
                 rulesVersion,
                 rulesConfirmedMillisecondsAgo,
+                storeEra,
                 watchesStore,
                 warmedUp,
                 load,
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -102,8 +102,12 @@
                      [this](std::unique_ptr<AsyncSocket> socket) {
                          acceptPeer(std::move(socket));
                      })
+    , m_store(m_environment.store,
+              [this] {
+                  m_peerDirectory.handleNewEra();
+              })
     , m_rulesWatcher({ m_loop,
-                       m_environment.store,
+                       m_store,
                        m_environment.settings.rulesDeadline,
                        [this] {
                            return ownRoleCandidate();
@@ -121,7 +125,7 @@
                            m_statusExchange.setAccounts(rules.accounts, m_loop.now());
                        } })
     , m_peerDirectory({ m_loop,
-                        m_environment.store,
+                        m_store,
                         m_bufferBudget,
                         [this] {
                             return ownEntry();
@@ -192,6 +196,9 @@
     metrics.gauge("pimentohollow_rules_confirmation_age_seconds", [this] {
         return std::chrono::duration<double>(m_rulesWatcher.confirmationAge()).count();
     });
+    metrics.gauge("pimentohollow_store_era", [this] {
+        return static_cast<double>(m_store.era());
+    });
     metrics.gauge("pimentohollow_held_bytes", [this] {
         return static_cast<double>(m_bufferBudget.reservedBytes());
     });
@@ -490,7 +497,10 @@
     } else {
         m_statusExchange.applyCrashes(status);
     }
-    m_rulesWatcher.applyConfirmation(status.rulesVersion, std::chrono::milliseconds(status.rulesConfirmedMillisecondsAgo));
+    m_store.learnEra(status.storeEra, link.entry().node.text());
+    if (status.storeEra == m_store.era()) {
+        m_rulesWatcher.applyConfirmation(status.rulesVersion, std::chrono::milliseconds(status.rulesConfirmedMillisecondsAgo));
+    }
     if (m_rulesWatcher.shouldRequest(status.rulesVersion, link.isLocal())) {
         link.send(RulesRequestFrame{});
     }
@@ -507,6 +517,7 @@
             }
         }
     }
+    m_store.learnEra(digest.sums.storeEra, digest.relayAddress);
     if (digest.dataCentre == m_environment.settings.dataCentre || !m_statusExchange.applyDigest(digest, m_loop.now())) {
         return;
     }
@@ -534,6 +545,7 @@
     status.rulesConfirmedMillisecondsAgo = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(std::min<Duration>(m_rulesWatcher.confirmationAge(), MaximumReportedAge))
             .count());
+    status.storeEra = m_store.era();
     status.watchesStore = m_rulesWatcher.storeAnswers() && !m_shuttingDown;
     status.warmedUp = hasWarmedUp();
     status.load = m_upstreamRunner.load();
@@ -576,6 +588,7 @@
     const auto own = ownEntry();
     DigestFrame digest{ own.dataCentre, own.peerAddress.text(), m_incarnation, ++m_lastDigestSequence, true, 0, {}, {} };
     digest.sums.rulesVersion = rulesVersion();
+    digest.sums.storeEra = m_store.era();
     digest.members.push_back({ digest.relayAddress, m_upstreamRunner.load() });
     std::map<DataCentreName, std::vector<std::shared_ptr<MeshLink>>> receivers;
     for (const auto &[key, link] : m_peerDirectory.links()) {
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -5,6 +5,7 @@
 #include "mesh/callers/ingresshandler.h"
 #include "mesh/decisions/datacentreroles.h"
 #include "mesh/model/fleetstore.h"
+#include "mesh/node/eracheckedstore.h"
 #include "mesh/node/peerdirectory.h"
 #include "mesh/node/ruleswatcher.h"
 #include "mesh/node/statusexchange.h"
@@ -151,6 +152,7 @@
     AsyncListener m_callerListener;
     std::set<CallerSession *> m_callerSessions;
     AsyncListener m_peerListener;
+    EraCheckedStore m_store;
     RulesWatcher m_rulesWatcher;
     PeerDirectory m_peerDirectory;
 
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -44,11 +44,23 @@
 
 void PeerDirectory::start()
 {
-    m_environment.loop.spawn([this] {
-        watch();
+    startWatch();
+}
+
+void PeerDirectory::startWatch()
+{
+    m_environment.loop.spawn([this, number = ++m_currentWatch] {
+        watch(number);
     });
 }
 
+void PeerDirectory::handleNewEra()
+{
+    if (!m_left) {
+        startWatch();
+    }
+}
+
 void PeerDirectory::leave(bool withdraws)
 {
     m_left = true;
@@ -74,18 +86,21 @@
     }));
 }
 
-void PeerDirectory::watch()
+void PeerDirectory::watch(unsigned watch)
 {
     auto &loop = m_environment.loop;
     Backoff backoff = storeBackoff();
     StorePosition position;
-    while (!m_left) {
+    while (!m_left && watch == m_currentWatch) {
         // Changes up to this node's own entry must be read here: the nodes that forward changes didn't know this node yet.
         if (m_published && m_directoryRead && m_ownEntrySeen && !m_environment.watchesStore()) {
             loop.sleepFor(RoleCheckInterval);
             continue;
         }
-        const auto followed = readOrWatchOnce(position);
+        const auto followed = readOrWatchOnce(position, watch);
+        if (watch != m_currentWatch) {
+            break;
+        }
         m_lastCallFailed = !followed;
         if (followed) {
             backoff.reset();
@@ -96,13 +111,16 @@
     }
 }
 
-Result<void> PeerDirectory::readOrWatchOnce(StorePosition &position)
+Result<void> PeerDirectory::readOrWatchOnce(StorePosition &position, unsigned watch)
 {
     if (!m_directoryRead) {
         const auto state = m_environment.store.readDirectory();
         if (!state) {
             return tl::unexpected(state.error());
         }
+        if (watch != m_currentWatch) {
+            return {};
+        }
         position = state->position;
         Log.info("directory_read",
                  { { "era", std::to_string(position.era) },
@@ -115,6 +133,9 @@
         return {};
     }
     const auto changes = m_environment.store.watchDirectory(position, m_lastCallFailed ? DirectoryProbe : DirectoryWatch);
+    if (watch != m_currentWatch) {
+        return {};
+    }
     if (!changes) {
         m_directoryRead = changes.error().kind != ErrorKind::NotFound;
         return tl::unexpected(changes.error());
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -45,6 +45,8 @@
     void publish();
     /** Waits until this node's entry is written; returns false if it isn't by @p deadline. */
     bool awaitWritten(TimePoint deadline);
+    /** Reads the directory again if this node watches it. Must be called when the store has come back from a copy. */
+    void handleNewEra();
     /** Stops watching the directory and restoring this node's entry. @param withdraws true to remove the entry from the store as well */
     void leave(bool withdraws);
     /** Stops watching the directory and closes all links. */
@@ -80,9 +82,11 @@
     }
 
 private:
-    void watch();
+    void startWatch();
+    /** @param watch number of the watch, which ends when another one is started */
+    void watch(unsigned watch);
     /** Reads or watches the directory once. Errors: those of the store call. */
-    Result<void> readOrWatchOnce(StorePosition &position);
+    Result<void> readOrWatchOnce(StorePosition &position, unsigned watch);
     void write();
     void applyAll(const std::vector<DirectoryEntry> &entries);
     void apply(const DirectoryChange &change);
@@ -97,6 +101,8 @@
     /** Keys of known nodes that have no entry in the store, and the time from which they are removed unless they are connected. */
     std::map<std::string, TimePoint> m_missingKeys;
     bool m_directoryRead = false;
+    /** Number of the watch in progress. Earlier ones end with their calls, which may wait long. */
+    unsigned m_currentWatch = 0;
     /** True if the last directory call to the store failed. */
     bool m_lastCallFailed = false;
     bool m_left = false;
--- a/modules/mesh/node/ruleswatcher.cpp
+++ b/modules/mesh/node/ruleswatcher.cpp
@@ -77,9 +77,10 @@
     const bool reads = !position;
     const auto state = reads ? m_environment.store.readRules() : m_environment.store.watchRules(*position, limits);
     if (!state) {
-        m_plan.recordFailure(state.error().kind == ErrorKind::Timeout);
         if (state.error().kind == ErrorKind::NotFound) {
             position.reset();
+        } else {
+            m_plan.recordFailure(state.error().kind == ErrorKind::Timeout);
         }
         return tl::unexpected(state.error());
     }
