Restore each node's entry in the directory when the store comes back from a copy

An upstream that departed got requests again, and nodes that started later found no way to live ones: the store had lost entries and marks of departure that it had acknowledged, and a node's "my entry is written" held for ever. Only nodes that watch the directory noticed, and only if their feed got 410. Now every node that learns of a new era reads its own row, and writes it if it is missing or outdated; a node that has withdrawn its entry withdraws it again. A write whose answer is of an earlier era is repeated. One read for each node and a write where needed, so that a large fleet doesn't spend its writes on rows that the copy has.

--- a/modules/mesh/model/fleetstore.h
+++ b/modules/mesh/model/fleetstore.h
@@ -67,6 +67,12 @@
     StorePosition position;
 };
 
+struct EntryState {
+    /** Nothing if the store has no valid entry at the address. */
+    std::optional<DirectoryEntry> entry;
+    StorePosition position;
+};
+
 struct DirectoryChanges {
     std::vector<DirectoryChange> changes;
     StorePosition position;
@@ -101,6 +107,7 @@
     /** Waits for rules newer than @p position; returns an empty state if there are none. */
     virtual Result<RulesState> watchRules(const StorePosition &position, const WatchLimits &limits) = 0;
     virtual Result<DirectoryState> readDirectory() = 0;
+    virtual Result<EntryState> readEntry(const IpEndpoint &peerAddress) = 0;
     virtual Result<DirectoryChanges> watchDirectory(const StorePosition &position, const WatchLimits &limits) = 0;
     /** Writes @p entry, replacing the entry of the same peer address. Returns the era in which it was written. */
     virtual Result<StoreEra> publish(const DirectoryEntry &entry) = 0;
--- a/modules/mesh/node/eracheckedstore.cpp
+++ b/modules/mesh/node/eracheckedstore.cpp
@@ -46,6 +46,13 @@
     });
 }
 
+Result<EntryState> EraCheckedStore::readEntry(const IpEndpoint &peerAddress)
+{
+    return read([&] {
+        return m_store.readEntry(peerAddress);
+    });
+}
+
 Result<DirectoryChanges> EraCheckedStore::watchDirectory(const StorePosition &position, const WatchLimits &limits)
 {
     return watch(position, [&] {
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -56,9 +56,16 @@
 
 void PeerDirectory::handleNewEra()
 {
-    if (!m_left) {
-        startWatch();
+    if (m_withdrawn) {
+        withdraw(m_environment.ownEntry(), "withdrawn");
+    }
+    if (m_left) {
+        return;
     }
+    startWatch();
+    m_environment.loop.spawn([this] {
+        restoreEntry();
+    });
 }
 
 void PeerDirectory::leave(bool withdraws)
@@ -66,6 +73,7 @@
     m_left = true;
     if (withdraws) {
         m_writePending = false;
+        m_withdrawn = true;
         withdraw(m_environment.ownEntry(), "withdrawn");
     }
 }
@@ -189,6 +197,25 @@
     m_published = true;
 }
 
+void PeerDirectory::restoreEntry()
+{
+    Backoff backoff = storeBackoff();
+    // A write in progress ends in the new era, or is repeated because its answer is of an earlier one.
+    while (!m_left && !m_writing) {
+        const auto stored = m_environment.store.readEntry(m_environment.ownEntry().peerAddress);
+        if (stored) {
+            if (!m_left && stored->entry != m_environment.ownEntry()) {
+                Log.warning("own_entry_lost",
+                            { { "era", std::to_string(stored->position.era) }, { "stored", stored->entry ? "outdated" : "none" } });
+                publish();
+            }
+            return;
+        }
+        Log.warning("own_entry_unknown", { { "error", stored.error().describe() } });
+        m_environment.loop.sleepFor(backoff.next());
+    }
+}
+
 void PeerDirectory::applyAll(const std::vector<DirectoryEntry> &entries)
 {
     const std::string ownKey = keyOf(m_environment.ownEntry());
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -45,7 +45,10 @@
     void publish();
     /** Waits until this node's entry is written; returns false if it isn't by @p deadline. */
     bool awaitWritten(TimePoint deadline);
-    /** Reads the directory again if this node watches it. Must be called when the store has come back from a copy. */
+    /**
+     * Reads the directory again if this node watches it, and restores the state of its own entry: written, or withdrawn. Must be called
+     * when the store has come back from a copy.
+     */
     void handleNewEra();
     /** Stops watching the directory and restoring this node's entry. @param withdraws true to remove the entry from the store as well */
     void leave(bool withdraws);
@@ -88,6 +91,8 @@
     /** Reads or watches the directory once. Errors: those of the store call. */
     Result<void> readOrWatchOnce(StorePosition &position, unsigned watch);
     void write();
+    /** Writes this node's entry again unless the store has it. */
+    void restoreEntry();
     void applyAll(const std::vector<DirectoryEntry> &entries);
     void apply(const DirectoryChange &change);
     void applyOwn(const DirectoryEntry &entry);
@@ -106,6 +111,8 @@
     /** True if the last directory call to the store failed. */
     bool m_lastCallFailed = false;
     bool m_left = false;
+    /** True if leave() has removed this node's entry. */
+    bool m_withdrawn = false;
     /** True while this node's entry is being written. */
     bool m_writing = false;
     /** True if this node's entry has to be written, or written again because it changed during a write. */
--- a/modules/mesh/tests/eracheckedstoretest.cpp
+++ b/modules/mesh/tests/eracheckedstoretest.cpp
@@ -32,6 +32,12 @@
         return DirectoryState{ {}, { era, 1 } };
     }
 
+    Result<EntryState> readEntry(const IpEndpoint & /*peerAddress*/) override
+    {
+        ++calls;
+        return EntryState{ {}, { era, 1 } };
+    }
+
     Result<DirectoryChanges> watchDirectory(const StorePosition & /*position*/, const WatchLimits & /*limits*/) override
     {
         ++calls;
@@ -55,6 +61,7 @@
     ReadRules,
     WatchRules,
     ReadDirectory,
+    ReadEntry,
     WatchDirectory,
     Publish,
     Withdraw
@@ -74,6 +81,8 @@
         return kindOf(store.watchRules(position, {}));
     case Call::ReadDirectory:
         return kindOf(store.readDirectory());
+    case Call::ReadEntry:
+        return kindOf(store.readEntry({}));
     case Call::WatchDirectory:
         return kindOf(store.watchDirectory(position, {}));
     case Call::Publish:
@@ -132,6 +141,7 @@
                       EraCase{ "LateAnswerToAWatch", Call::WatchRules, 5, 5, 4, ErrorKind::Unavailable, false, 5 },
                       EraCase{ "LateAnswerToARead", Call::ReadRules, 5, 0, 4, ErrorKind::Unavailable, false, 5 },
                       EraCase{ "LateAnswerToADirectoryRead", Call::ReadDirectory, 5, 0, 4, ErrorKind::Unavailable, false, 5 },
+                      EraCase{ "LateAnswerToAnEntryRead", Call::ReadEntry, 5, 0, 4, ErrorKind::Unavailable, false, 5 },
                       EraCase{ "ReadAfterARestore", Call::ReadDirectory, 4, 0, 5, {}, true, 5 },
                       EraCase{ "LateAnswerToAWrite", Call::Publish, 5, 0, 4, ErrorKind::Unavailable, false, 5 },
                       EraCase{ "WriteAfterARestore", Call::Publish, 4, 0, 5, {}, true, 5 },
