Take no request in a planned stop that can't be finished before the process ends

It can happen here: an order whose body arrives 3.3 s after the stop, with 4 s of grace, was passed on, ran for 0.6 s and was cut off. A stopping node compared nothing with the end of its process. It answers the load of a rolling restart: callers that keep sending on open connections while the node drains.

--- a/modules/mesh/callers/ingresshandler.cpp
+++ b/modules/mesh/callers/ingresshandler.cpp
@@ -95,6 +95,9 @@
     if (auto answer = prepareRequest(request, ingress)) {
         return std::move(*answer);
     }
+    if (auto answer = fitIntoShutdown(ingress)) {
+        return std::move(*answer);
+    }
     if (auto answer = admit(ingress)) {
         return std::move(*answer);
     }
@@ -156,6 +159,27 @@
     return std::nullopt;
 }
 
+std::optional<HttpResponseMessage> IngressHandler::fitIntoShutdown(IngressRequest &ingress)
+{
+    const auto &plan = m_environment.shutdownPlan;
+    if (!plan.hasStarted()) {
+        return std::nullopt;
+    }
+    const TimePoint now = m_environment.loop.now();
+    const auto found = m_averageResponses.find(ingress.route->name);
+    const std::chrono::duration<double> usual(found == m_averageResponses.end() ? 0 : found->second.seconds);
+    if (!plan.canFinish(ingress.deadline - now, std::chrono::duration_cast<Duration>(usual), now)) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(plan.end() - now).count();
+        return refuse(ingress,
+                      ServiceUnavailable,
+                      "shutting_down",
+                      DefaultRetryAfter,
+                      fmt::format("left_ms={} usual_ms={:.0f}", left, usual.count() * 1e3));
+    }
+    ingress.deadline = std::min(ingress.deadline, plan.end());
+    return std::nullopt;
+}
+
 std::optional<HttpResponseMessage> IngressHandler::admit(IngressRequest &ingress)
 {
     const TimePoint now = m_environment.loop.now();
--- a/modules/mesh/callers/ingresshandler.h
+++ b/modules/mesh/callers/ingresshandler.h
@@ -5,6 +5,7 @@
 #include "mesh/decisions/accountratelimiter.h"
 #include "mesh/decisions/calltreeadmission.h"
 #include "mesh/decisions/serviceretrybudget.h"
+#include "mesh/decisions/shutdownplan.h"
 #include "mesh/decisions/upstreamchooser.h"
 #include "mesh/decisions/weightedsplit.h"
 #include "mesh/links/meshlink.h"
@@ -43,6 +44,7 @@
         AccountRateLimiter &accountRateLimiter;
         ServiceRetryBudget &retryBudget;
         CallTreeAdmission &treeAdmission;
+        const ShutdownPlan &shutdownPlan;
         Random &random;
         MetricRegistry &metrics;
         /** Returns the rules in force; nullptr until the first rules are received. */
@@ -98,6 +100,8 @@
     HttpResponseMessage serve(HttpRequestMessage &&request, IngressRequest &ingress, PendingRequest &pending);
     std::optional<HttpResponseMessage> prepareRequest(HttpRequestMessage &request, IngressRequest &ingress);
     std::optional<HttpResponseMessage> admit(IngressRequest &ingress);
+    /** Refuses a request that can't be finished before this node, which is stopping, ends; limits the deadline of others to that time. */
+    std::optional<HttpResponseMessage> fitIntoShutdown(IngressRequest &ingress);
     HttpResponseMessage forward(HttpRequestMessage &&request, IngressRequest &ingress, PendingRequest &pending);
     PlacementRequest placedRequest(const IngressRequest &ingress) const;
     std::optional<UpstreamOption> selectUpstream(const IngressRequest &ingress, const AttemptHistory &attempts);
--- a/modules/mesh/mesh.h
+++ b/modules/mesh/mesh.h
@@ -11,6 +11,7 @@
 #include "mesh/decisions/datacentreroles.h"
 #include "mesh/decisions/ruleswatchplan.h"
 #include "mesh/decisions/serviceretrybudget.h"
+#include "mesh/decisions/shutdownplan.h"
 #include "mesh/decisions/slotqueue.h"
 #include "mesh/decisions/upstreamchooser.h"
 #include "mesh/decisions/upstreamnotices.h"
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -53,6 +53,7 @@
     , m_upstreamRunner({ m_loop,
                          m_environment.settings,
                          m_environment.headers,
+                         m_shutdownPlan,
                          m_crashTracker,
                          m_bufferBudget,
                          m_environment.metrics,
@@ -66,6 +67,7 @@
                          m_accountRateLimiter,
                          m_retryBudget,
                          m_treeAdmission,
+                         m_shutdownPlan,
                          m_random,
                          m_environment.metrics,
                          [this] {
@@ -216,6 +218,7 @@
         return;
     }
     m_shutDownStartedAt = m_loop.now();
+    m_shutdownPlan.start(m_environment.settings.shutdownGrace, m_shutDownStartedAt);
     Log.info("shutdown_started", { { "active", std::to_string(m_activeRequests + m_upstreamRunner.jobCount()) } });
     m_loop.spawn([this] {
         finishShutDown();
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -146,6 +146,7 @@
     ServiceRetryBudget m_retryBudget;
     CallTreeAdmission m_treeAdmission;
     StatusExchange m_statusExchange;
+    ShutdownPlan m_shutdownPlan;
     UpstreamRunner m_upstreamRunner;
     IngressHandler m_ingressHandler;
     CallerSession::Environment m_callerEnvironment;
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -73,6 +73,12 @@
         refuse(job->ticket, m_unreachable && m_announced ? RunOutcome::Unreachable : RunOutcome::Leaving);
         return job->ticket;
     }
+    const Duration usual = m_queue.runTime(job->frame.route);
+    if (!m_environment.shutdownPlan.canFinish(
+            job->expiry - now, usual > Duration::zero() ? usual + m_queue.expectedWait() : Duration::zero(), now)) {
+        refuse(job->ticket, RunOutcome::Leaving);
+        return job->ticket;
+    }
     const auto verdict = m_environment.crashes.check(job->frame.fingerprint, m_environment.settings.node);
     if (verdict == PoisonVerdict::Refuse || verdict == PoisonVerdict::Wait) {
         Log.warning(
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -3,6 +3,7 @@
 #include "async/net/httpconnection.h"
 #include "core/random.h"
 #include "mesh/decisions/callparentfinder.h"
+#include "mesh/decisions/shutdownplan.h"
 #include "mesh/decisions/slotqueue.h"
 #include "mesh/decisions/upstreamnotices.h"
 #include "mesh/messages/meshframes.h"
@@ -41,6 +42,7 @@
         EventLoop &loop;
         const MeshSettings &settings;
         const HeaderNames &headers;
+        const ShutdownPlan &shutdownPlan;
         CrashTracker &crashes;
         BufferBudget &bufferBudget;
         MetricRegistry &metrics;
