Let no answer of a stopping node close its connection before requests that were passed on

Now only the last pending answer closes it, nothing is read behind pending requests while the node stops, and a request that was read behind a closing answer isn't passed on, so that it counts as not received.

--- a/modules/mesh/callers/callersession.cpp
+++ b/modules/mesh/callers/callersession.cpp
@@ -74,7 +74,7 @@
         }
         m_receivingRequest = true;
         m_requestSeen = true;
-        const bool continueReading = ready && !m_readingEnded && readRequest();
+        const bool continueReading = ready && !m_readingEnded && !stopsReading() && readRequest();
         m_receivingRequest = false;
         if (!continueReading) {
             break;
@@ -86,6 +86,11 @@
     while (!m_readingEnded && !m_exchanges.empty()) {
         m_exchangesChanged.wait(TimePoint::max());
     }
+    if (m_environment.isShuttingDown() && !m_lastResponseSent && m_connection.socket().isOpen()) {
+        // The last response was completed before the stop and left the connection open.
+        m_connection.socket().finishWriting();
+        m_lastResponseSent = true;
+    }
     if (m_lastResponseSent) {
         // Closing before the caller has closed its sending side would reset the connection and could discard the last response.
         const TimePoint deadline = m_environment.loop.clock().now() + LingerTimeout;
@@ -97,6 +102,12 @@
     m_environment.connectionClosed(this);
 }
 
+bool CallerSession::stopsReading() const
+{
+    // What is sent behind an answer that closes the connection counts as not received, so it must not be passed on.
+    return !m_exchanges.empty() && (m_environment.isShuttingDown() || m_exchanges.back()->closesConnection);
+}
+
 void CallerSession::closeWhenIdle()
 {
     const bool awaitsFirstRequest = !m_requestSeen && m_environment.loop.now() - m_openedAt < FirstRequestTimeout;
@@ -132,7 +143,7 @@
     while (exclusive && !m_readingEnded && !m_exchanges.empty()) {
         m_exchangesChanged.wait(TimePoint::max());
     }
-    if (m_readingEnded) {
+    if (m_readingEnded || (!m_exchanges.empty() && m_exchanges.back()->closesConnection)) {
         return false;
     }
     auto exchange = std::make_shared<Exchange>(m_environment.loop, m_environment.bufferBudget);
@@ -177,7 +188,8 @@
 
 void CallerSession::completeExchange(Exchange &exchange, const HttpResponseMessage &response, bool keepAlive, bool headRequest)
 {
-    exchange.closesConnection = !keepAlive || m_environment.isShuttingDown();
+    const bool isLast = m_exchanges.back().get() == &exchange;
+    exchange.closesConnection = !keepAlive || (isLast && m_environment.isShuttingDown());
     exchange.responseBytes = serializeResponse(response, !exchange.closesConnection, headRequest);
     // A completed response is delivered even if the buffer budget has to drop other messages for it.
     (void)exchange.reservation.set(exchange.responseBytes.size());
--- a/modules/mesh/callers/callersession.h
+++ b/modules/mesh/callers/callersession.h
@@ -59,6 +59,8 @@
 
     void readRequests();
     bool readRequest();
+    /** True if no request may be read behind the pending ones: one of their responses will close the connection. */
+    bool stopsReading() const;
     void serve(const std::shared_ptr<Exchange> &exchange, HttpRequestMessage &&request, bool keepAlive);
     void rejectUnreadable(const RequestError &fault);
     void completeExchange(Exchange &exchange, const HttpResponseMessage &response, bool keepAlive, bool headRequest);
