--- a/modules/mesh/node/eracheckedstore.cpp
+++ b/modules/mesh/node/eracheckedstore.cpp
@@ -115,7 +115,7 @@
 template <typename Write>
 Result<StoreEra> EraCheckedStore::write(Write &&call)
 {
-    const auto era = call();
+    auto era = call();
     if (era) {
         if (const auto accepted = accept(*era); !accepted) {
             return tl::unexpected(accepted.error());
