--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -115,6 +115,9 @@
             continue;
         }
         Log.warning("directory_unavailable", { { "error", followed.error().describe() } });
+        if (followed.error().kind == ErrorKind::NotFound) {
+            backoff.reset(); // the store answers again
+        }
         m_environment.loop.sleepFor(backoff.next());
     }
 }
--- a/modules/mesh/node/ruleswatcher.cpp
+++ b/modules/mesh/node/ruleswatcher.cpp
@@ -63,6 +63,9 @@
             continue;
         }
         Log.warning("rules_unavailable", { { "error", called.error().describe() } });
+        if (called.error().kind == ErrorKind::NotFound) {
+            backoff.reset(); // the store answers again
+        }
         // A call without an answer has taken its time, and the next one uses a new connection.
         if (called.error().kind != ErrorKind::Timeout) {
             loop.sleepFor(backoff.next());
