--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -290,9 +290,10 @@
     m_missingKeys.erase(key);
     const auto found = m_links.find(key);
     if (found != m_links.end()) {
-        // A connected node has told its entry itself; the store's may be of an earlier process.
-        const bool replaces = fromStore && found->second->disconnectedSince();
-        if (!(found->second->entry() == entry) && (replaces || entry.incarnation > found->second->entry().incarnation)) {
+        // A connected node has told its entry itself; the store's may be of an earlier process, whose clock may have been ahead.
+        const auto &link = *found->second;
+        const bool replaces = fromStore ? link.disconnectedSince().has_value() : entry.incarnation > link.entry().incarnation;
+        if (replaces && !(link.entry() == entry)) {
             found->second->setEntry(entry);
         }
         return;
