--- a/modules/mesh/callers/callersession.cpp
+++ b/modules/mesh/callers/callersession.cpp
@@ -74,7 +74,7 @@
         }
         m_receivingRequest = true;
         m_requestSeen = true;
-        const bool continueReading = ready && !m_readingEnded && !stopsReading() && readRequest();
+        const bool continueReading = ready && mayReadNext() && readRequest();
         m_receivingRequest = false;
         if (!continueReading) {
             break;
@@ -102,10 +102,16 @@
     m_environment.connectionClosed(this);
 }
 
-bool CallerSession::stopsReading() const
+bool CallerSession::lastResponseCloses() const
 {
-    // What is sent behind an answer that closes the connection counts as not received, so it must not be passed on.
-    return !m_exchanges.empty() && (m_environment.isShuttingDown() || m_exchanges.back()->closesConnection);
+    return !m_exchanges.empty() && m_exchanges.back()->closesConnection;
+}
+
+bool CallerSession::mayReadNext() const
+{
+    // A stopping node closes the connection with the last pending response, so no request may join the pending ones.
+    const bool awaitsLast = m_environment.isShuttingDown() && !m_exchanges.empty();
+    return !m_readingEnded && !awaitsLast && !lastResponseCloses();
 }
 
 void CallerSession::closeWhenIdle()
@@ -143,7 +149,8 @@
     while (exclusive && !m_readingEnded && !m_exchanges.empty()) {
         m_exchangesChanged.wait(TimePoint::max());
     }
-    if (m_readingEnded || (!m_exchanges.empty() && m_exchanges.back()->closesConnection)) {
+    if (m_readingEnded || lastResponseCloses()) {
+        // Not served: what is sent behind a response that closes the connection counts as not received.
         return false;
     }
     auto exchange = std::make_shared<Exchange>(m_environment.loop, m_environment.bufferBudget);
--- a/modules/mesh/callers/callersession.h
+++ b/modules/mesh/callers/callersession.h
@@ -59,8 +59,9 @@
 
     void readRequests();
     bool readRequest();
-    /** True if no request may be read behind the pending ones: one of their responses will close the connection. */
-    bool stopsReading() const;
+    /** True if the response to the last pending request is ready and closes the connection. */
+    bool lastResponseCloses() const;
+    bool mayReadNext() const;
     void serve(const std::shared_ptr<Exchange> &exchange, HttpRequestMessage &&request, bool keepAlive);
     void rejectUnreadable(const RequestError &fault);
     void completeExchange(Exchange &exchange, const HttpResponseMessage &response, bool keepAlive, bool headRequest);
