Record the departure of an upstream whatever is known of it

Cause: the departure was a property of the last announcement. Without one, UpstreamRunner::depart() set nothing and MeshNode published an entry without a departure. For the same reason a draining report that is the first of a process was kept in memory only: the entry was written when the upstream stopped accepting requests, and it had not accepted any. Only the last departure was kept, so a second one on the same VM brought the first back.

Ruled out: the order of the late report and the deregistration within one process (DeregisteredThenLateReport), the write of the entry (DeregisteredThenKilled) and the read of it after a restart; these held.

Fix: UpstreamLifecycle owns which process of the upstream runs and which have left, without a network. A departure is a fact about an id and a latest start time, recorded in any state; whether the upstream may be used follows from it. The directory entry has the whole set, and an acknowledgement waits until the written entry has it, not until some write is over.

The bound of a departure without a known process is this VM's time of day. A successor under the same id that starts within the error of that clock would be taken for the one that left.

The format of directory entries changes: upgrade a fleet as a whole.

--- a/modules/mesh/mesh.h
+++ b/modules/mesh/mesh.h
@@ -14,6 +14,7 @@
 #include "mesh/decisions/shutdownplan.h"
 #include "mesh/decisions/slotqueue.h"
 #include "mesh/decisions/upstreamchooser.h"
+#include "mesh/decisions/upstreamlifecycle.h"
 #include "mesh/decisions/upstreamnotices.h"
 #include "mesh/decisions/weightedsplit.h"
 #include "mesh/model/fleetstore.h"
--- a/modules/mesh/model/fleetstore.h
+++ b/modules/mesh/model/fleetstore.h
@@ -5,6 +5,7 @@
 #include "core/ipendpoint.h"
 #include "core/names.h"
 #include "mesh/model/trafficrules.h"
+#include "mesh/model/upstreamdepartures.h"
 
 #include <cereal/types/string.hpp>
 #include <optional>
@@ -23,17 +24,15 @@
     IpEndpoint peerAddress;
     /** Differs for each process of the node. */
     std::uint64_t incarnation = 0;
-    /**
-     * The upstream beside the node that deregistered and must not receive requests again, even after a restart of the node; may be empty.
-     */
-    std::string departedUpstream;
+    /** Processes of the upstream beside the node that must not receive requests again, even after a restart of the node. */
+    UpstreamDepartures departures;
 
     bool operator==(const DirectoryEntry &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(node, dataCentre, service, peerAddress, incarnation, departedUpstream);
+        archive(node, dataCentre, service, peerAddress, incarnation, departures);
     }
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -148,8 +148,8 @@
                         [this] {
                             updateFleetSize();
                         },
-                        [this](const std::string &upstream) {
-                            m_upstreamRunner.setDepartedIncarnation(upstream);
+                        [this](const UpstreamDepartures &departures) {
+                            m_upstreamRunner.applyDepartures(departures);
                         } })
     , m_startedAt(m_loop.clock().now())
 {
@@ -224,7 +224,7 @@
         finishShutDown();
     });
     m_rulesWatcher.stop();
-    m_peerDirectory.leave(!m_upstreamRunner.departedIncarnation().empty());
+    m_peerDirectory.leave(upstreamHasLeft());
 }
 
 bool MeshNode::isReady() const
@@ -266,21 +266,23 @@
 
 bool MeshNode::awaitDepartureWritten()
 {
-    const bool written =
-        m_upstreamRunner.departedIncarnation().empty() || m_peerDirectory.awaitWritten(m_loop.clock().now() + DepartureWriteTimeout);
+    const UpstreamDepartures departures = m_upstreamRunner.lifecycle().departures();
+    const bool written = m_peerDirectory.awaitDeparturesWritten(departures, m_loop.clock().now() + DepartureWriteTimeout);
     if (!written) {
-        Log.warning("departure_not_written", { { "upstream", m_upstreamRunner.departedIncarnation() } });
+        Log.warning("departure_not_written", { { "departures", departures.text() } });
     }
     return written;
 }
 
-bool MeshNode::deregisterUpstream(const std::string &upstreamId)
+void MeshNode::deregisterUpstream(const std::string &upstreamId)
 {
-    if (!m_upstreamRunner.depart(upstreamId)) {
-        return false;
-    }
-    m_peerDirectory.publish();
-    return true;
+    m_upstreamRunner.depart(upstreamId);
+}
+
+bool MeshNode::upstreamHasLeft() const
+{
+    const auto &lifecycle = m_upstreamRunner.lifecycle();
+    return lifecycle.isKnown() ? !lifecycle.isUsable() : !lifecycle.departures().empty();
 }
 
 DirectoryEntry MeshNode::ownEntry() const
@@ -288,7 +290,7 @@
     const auto &settings = m_environment.settings;
     return { settings.node,    settings.dataCentre,
              settings.service, settings.advertisedPeerAddress.value_or(settings.peerListener),
-             m_incarnation,    m_upstreamRunner.departedIncarnation() };
+             m_incarnation,    m_upstreamRunner.lifecycle().departures() };
 }
 
 std::vector<UpstreamOption> MeshNode::upstreamOptions(const ServiceName &service) const
@@ -620,7 +622,7 @@
 void MeshNode::handleUpstreamChange()
 {
     sendStatus(true);
-    if (!m_upstreamRunner.departedIncarnation().empty()) {
+    if (!m_peerDirectory.hasWritten(m_upstreamRunner.lifecycle().departures())) {
         m_peerDirectory.publish();
     }
 }
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -71,11 +71,12 @@
         return m_upstreamRunner.announce(announcement);
     }
 
-    bool deregisterUpstream(const std::string &upstreamId);
+    /** Records that an upstream has deregistered; true of any upstream id, also before the upstream has announced itself. */
+    void deregisterUpstream(const std::string &upstreamId);
     /**
-     * Waits until the store has recorded the departure of an upstream, so that it isn't lost if the process is killed right after the
+     * Waits until the store has recorded all departures of upstreams, so that they aren't lost if the process is killed right after the
      * acknowledgement. The wait is bounded, because the upstream must be able to leave while the store is unavailable. Returns false if the
-     * departure isn't written in time.
+     * departures aren't written in time.
      */
     bool awaitDepartureWritten();
 
@@ -101,6 +102,7 @@
     };
 
     DirectoryEntry ownEntry() const;
+    bool upstreamHasLeft() const;
     std::vector<UpstreamOption> upstreamOptions(const ServiceName &service) const;
     /** Interval between the statuses, and between the digests, of a node. */
     Duration statusInterval() const;
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -56,6 +56,7 @@
 
 void PeerDirectory::handleNewEra()
 {
+    m_writtenDepartures = {};
     if (m_withdrawn) {
         withdraw(m_environment.ownEntry(), "withdrawn");
     }
@@ -140,7 +141,7 @@
                    { "known", std::to_string(nodeCount()) } });
         applyAll(state->entries);
         m_directoryRead = true;
-        (void)awaitWritten(m_environment.loop.now() + FirstWriteTimeout);
+        awaitWritten(m_environment.loop.now() + FirstWriteTimeout);
         return {};
     }
     const auto changes = m_environment.store.watchDirectory(position, m_lastCallFailed ? DirectoryProbe : DirectoryWatch);
@@ -173,12 +174,22 @@
     });
 }
 
-bool PeerDirectory::awaitWritten(TimePoint deadline)
+void PeerDirectory::awaitWritten(TimePoint deadline)
 {
     while (m_writing && m_environment.loop.clock().now() < deadline) {
         m_environment.loop.sleepFor(WrittenCheckInterval);
     }
-    return !m_writing;
+}
+
+bool PeerDirectory::awaitDeparturesWritten(const UpstreamDepartures &departures, TimePoint deadline)
+{
+    while (!hasWritten(departures)) {
+        if (m_environment.loop.clock().now() >= deadline) {
+            return false;
+        }
+        m_environment.loop.sleepFor(WrittenCheckInterval);
+    }
+    return true;
 }
 
 void PeerDirectory::write()
@@ -194,7 +205,8 @@
             m_environment.loop.sleepFor(backoff.next());
             continue;
         }
-        Log.info("entry_written", { { "era", std::to_string(*published) }, { "departed", entry.departedUpstream } });
+        m_writtenDepartures = entry.departures;
+        Log.info("entry_written", { { "era", std::to_string(*published) }, { "departed", entry.departures.text() } });
     }
     m_writing = false;
     m_published = true;
@@ -261,12 +273,12 @@
 
 void PeerDirectory::applyOwn(const DirectoryEntry &entry)
 {
+    if (entry.node == m_environment.ownEntry().node) {
+        m_environment.applyDepartures(entry.departures);
+    }
     const auto own = m_environment.ownEntry();
     m_ownEntrySeen = m_ownEntrySeen || entry == own;
     if (!m_published) {
-        if (entry.node == own.node && !entry.departedUpstream.empty()) {
-            m_environment.onEarlierDeparture(entry.departedUpstream);
-        }
         return;
     }
     if (m_left || m_writing || entry == own) {
@@ -276,8 +288,8 @@
     Log.warning("own_entry_outdated",
                 { { "stored_incarnation", std::to_string(entry.incarnation) },
                   { "incarnation", std::to_string(own.incarnation) },
-                  { "stored_departed", entry.departedUpstream },
-                  { "departed", own.departedUpstream } });
+                  { "stored_departed", entry.departures.text() },
+                  { "departed", own.departures.text() } });
     publish();
 }
 
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -33,8 +33,8 @@
         std::function<void(const std::vector<DirectoryChange> &)> forwardChanges;
         /** Called when a node was added or removed. */
         std::function<void()> onPeersChanged;
-        /** Called with the id of an upstream that an earlier process of this node recorded as departed. */
-        std::function<void(const std::string &)> onEarlierDeparture;
+        /** Called with the departures in the entry that the store has of this node. */
+        std::function<void(const UpstreamDepartures &)> applyDepartures;
     };
 
     explicit PeerDirectory(Environment environment);
@@ -43,8 +43,14 @@
     void start();
     /** Writes this node's entry to the store, with retries until it succeeds. */
     void publish();
-    /** Waits until this node's entry is written; returns false if it isn't by @p deadline. */
-    bool awaitWritten(TimePoint deadline);
+    /** True if the store has an entry of this node with these departures. */
+    bool hasWritten(const UpstreamDepartures &departures) const
+    {
+        return m_writtenDepartures.includes(departures);
+    }
+
+    /** Waits until the store has an entry of this node with these departures; returns false if it hasn't by @p deadline. */
+    bool awaitDeparturesWritten(const UpstreamDepartures &departures, TimePoint deadline);
     /**
      * Reads the directory again if this node watches it, and restores the state of its own entry: written, or withdrawn. Must be called
      * when the store has come back from a copy.
@@ -91,6 +97,8 @@
     /** Reads or watches the directory once. Errors: those of the store call. */
     Result<void> readOrWatchOnce(StorePosition &position, unsigned watch);
     void write();
+    /** Waits until this node's entry is written, at most until @p deadline. */
+    void awaitWritten(TimePoint deadline);
     /** Writes this node's entry again unless the store has it. */
     void restoreEntry();
     void applyAll(const std::vector<DirectoryEntry> &entries);
@@ -117,6 +125,8 @@
     /** True if this node's entry has to be written, or written again because it changed during a write. */
     bool m_writePending = false;
     bool m_published = false;
+    /** The departures that this node's entry in the store has at least. */
+    UpstreamDepartures m_writtenDepartures;
     /** True once the store has returned the entry of this process. */
     bool m_ownEntrySeen = false;
 };
--- a/modules/mesh/tests/meshlinktest.cpp
+++ b/modules/mesh/tests/meshlinktest.cpp
@@ -31,7 +31,7 @@
 
     DirectoryEntry entry(const DataCentreName &dataCentre) const
     {
-        return { NodeName("peer"), dataCentre, ServiceName("orders"), { "127.0.0.1", m_listener.port() }, 1, "" };
+        return { NodeName("peer"), dataCentre, ServiceName("orders"), { "127.0.0.1", m_listener.port() }, 1, {} };
     }
 
     BufferBudget &bufferBudget()
--- /dev/null
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -0,0 +1,211 @@
+#include "mesh/decisions/upstreamlifecycle.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <variant>
+#include <vector>
+
+namespace Pimentohollow
+{
+
+namespace
+{
+
+/** Start times of processes, in ms since the epoch, and the time at which messages arrive. */
+constexpr std::int64_t FirstStart = 1'000;
+constexpr std::int64_t SecondStart = 2'000;
+const WallTime ReceivedAt{ std::chrono::milliseconds(1'500) };
+
+struct Report {
+    const char *id;
+    std::int64_t startedAt;
+    std::uint64_t sequence;
+    bool draining = false;
+};
+
+struct Deregister {
+    const char *id;
+};
+
+/** A response of the running process says that it leaves. */
+struct Leaving {
+};
+
+/** The node is killed and started; the store has kept the departures. */
+struct Restart {
+};
+
+using Event = std::variant<Report, Deregister, Leaving, Restart>;
+
+UpstreamReport toUpstreamReport(const Report &report)
+{
+    UpstreamReport result;
+    result.id = report.id;
+    result.startedAt = report.startedAt;
+    result.sequence = report.sequence;
+    result.draining = report.draining;
+    return result;
+}
+
+struct Player {
+    UpstreamLifecycle &lifecycle;
+
+    void operator()(const Report &report) const
+    {
+        (void)lifecycle.apply(toUpstreamReport(report));
+    }
+
+    void operator()(const Deregister &message) const
+    {
+        lifecycle.deregister(message.id, ReceivedAt);
+    }
+
+    void operator()(const Leaving & /*message*/) const
+    {
+        lifecycle.recordLeaving();
+    }
+
+    void operator()(const Restart & /*event*/) const
+    {
+        UpstreamLifecycle restarted;
+        restarted.applyDepartures(lifecycle.departures());
+        lifecycle = restarted;
+    }
+};
+
+struct OrderCase {
+    const char *name;
+    std::vector<Event> events;
+    bool usable;
+};
+
+class UpstreamLifecycleTest : public ::testing::TestWithParam<OrderCase>
+{
+};
+
+} // namespace
+
+/** Guards against a departure that depends on what the node knew when it was told, and against a new process that is taken for an old one.
+ */
+TEST_P(UpstreamLifecycleTest, UsesExactlyTheProcessesThatHaveNotLeft)
+{
+    UpstreamLifecycle lifecycle;
+    for (const auto &it : GetParam().events) {
+        std::visit(Player{ lifecycle }, it);
+    }
+    EXPECT_EQ(lifecycle.isUsable(), GetParam().usable);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Orders,
+    UpstreamLifecycleTest,
+    ::testing::Values(
+        OrderCase{ "NothingHeard", {}, false },
+        OrderCase{ "Ready", { Report{ "a", FirstStart, 1 } }, true },
+        OrderCase{ "ReadyAfterRestart", { Report{ "a", FirstStart, 1 }, Restart{}, Report{ "a", FirstStart, 2 } }, true },
+        OrderCase{ "DeregisteredFirst", { Deregister{ "a" }, Report{ "a", FirstStart, 1 } }, false },
+        OrderCase{ "DeregisteredFirstThenRestart", { Deregister{ "a" }, Restart{}, Report{ "a", FirstStart, 1 } }, false },
+        OrderCase{ "DeregisteredLater", { Report{ "a", FirstStart, 1 }, Deregister{ "a" }, Report{ "a", FirstStart, 2 } }, false },
+        OrderCase{ "DrainingFirst", { Report{ "a", FirstStart, 2, true }, Report{ "a", FirstStart, 1 } }, false },
+        OrderCase{ "DrainingFirstThenRestart", { Report{ "a", FirstStart, 2, true }, Restart{}, Report{ "a", FirstStart, 1 } }, false },
+        OrderCase{ "DrainingLate", { Report{ "a", FirstStart, 3 }, Report{ "a", FirstStart, 2, true } }, false },
+        OrderCase{ "ReadyAfterDraining", { Report{ "a", FirstStart, 1, true }, Report{ "a", FirstStart, 2 } }, false },
+        OrderCase{ "LeavingThenRestart", { Report{ "a", FirstStart, 1 }, Leaving{}, Restart{}, Report{ "a", FirstStart, 2 } }, false },
+        OrderCase{ "LeavingOfNoKnownProcess", { Leaving{}, Report{ "a", FirstStart, 1 } }, true },
+        OrderCase{ "OtherUpstreamDeregistered", { Report{ "a", FirstStart, 1 }, Deregister{ "b" } }, true },
+        OrderCase{ "SuccessorDeregisteredFirst", { Report{ "a", FirstStart, 1 }, Deregister{ "b" }, Report{ "b", FirstStart, 1 } }, false },
+        OrderCase{ "Replaced", { Report{ "a", FirstStart, 9, true }, Report{ "b", SecondStart, 1 } }, true },
+        OrderCase{ "ReplacedUnderTheSameId", { Report{ "a", FirstStart, 9, true }, Report{ "a", SecondStart, 1 } }, true },
+        OrderCase{ "PredecessorDrainingLate", { Report{ "b", SecondStart, 1 }, Report{ "a", FirstStart, 9, true } }, true },
+        OrderCase{ "PredecessorOfTheSameIdDrainingLate", { Report{ "a", SecondStart, 1 }, Report{ "a", FirstStart, 9, true } }, true },
+        OrderCase{ "PredecessorReportsLate",
+                   { Report{ "a", SecondStart, 1 }, Report{ "a", SecondStart, 2, true }, Report{ "a", FirstStart, 9 } },
+                   false },
+        OrderCase{ "StartedAfterTheDeregistration", { Deregister{ "a" }, Report{ "a", SecondStart, 1 } }, true },
+        OrderCase{ "BothDeregistered",
+                   { Report{ "a", FirstStart, 1 },
+                     Deregister{ "a" },
+                     Report{ "b", SecondStart, 1 },
+                     Deregister{ "b" },
+                     Restart{},
+                     Report{ "a", FirstStart, 1 } },
+                   false }),
+    [](const auto &it) {
+        return std::string(it.param.name);
+    });
+
+/** Guards against any order of reports, departures and restarts after which a process is used that has left. */
+TEST(UpstreamLifecyclePropertyTest, NoProcessIsUsedAfterItsDeparture)
+{
+    EXPECT_TRUE(rc::check([] {
+        const std::vector<std::pair<const char *, std::int64_t>> processes{ { "a", FirstStart },
+                                                                            { "a", SecondStart },
+                                                                            { "b", FirstStart } };
+        std::vector<bool> departed(processes.size());
+        UpstreamLifecycle lifecycle;
+        const Player play{ lifecycle };
+        const auto messages = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4 * static_cast<int>(processes.size())));
+        for (const int it : messages) {
+            const auto process = static_cast<std::size_t>(it) / 4;
+            const auto &[id, startedAt] = processes[process];
+            const auto sequence = *rc::gen::inRange<std::uint64_t>(0, 5);
+            switch (it % 4) {
+            case 0:
+                play(Report{ id, startedAt, sequence });
+                break;
+            case 1:
+                play(Report{ id, startedAt, sequence, true });
+                departed[process] = true;
+                break;
+            case 2:
+                if (lifecycle.isKnown() && lifecycle.lastReport().id == id && lifecycle.lastReport().startedAt == startedAt) {
+                    play(Deregister{ id });
+                    departed[process] = true;
+                }
+                break;
+            default:
+                play(Restart{});
+            }
+            for (std::size_t n = 0; n < processes.size(); ++n) {
+                const auto &last = lifecycle.lastReport();
+                const bool used = lifecycle.isUsable() && last.id == processes[n].first && last.startedAt == processes[n].second;
+                RC_ASSERT(!used || !departed[n]);
+            }
+        }
+    }));
+}
+
+/** Guards against departures that are lost, or that reach processes which haven't left, when the sets of several nodes are merged. */
+TEST(UpstreamDeparturesTest, MergedSetsCoverWhatEitherCovers)
+{
+    UpstreamDepartures first;
+    UpstreamDepartures second;
+    EXPECT_TRUE(first.add("a", FirstStart));
+    EXPECT_FALSE(first.add("a", FirstStart - 1));
+    EXPECT_TRUE(second.add("a", SecondStart));
+    EXPECT_TRUE(second.add("b", FirstStart));
+    EXPECT_FALSE(first.includes(second));
+    EXPECT_TRUE(second.includes(first));
+    EXPECT_TRUE(first.merge(second));
+    EXPECT_FALSE(first.merge(second));
+    EXPECT_TRUE(first.includes(second));
+    EXPECT_TRUE(first.covers("a", SecondStart));
+    EXPECT_FALSE(first.covers("a", SecondStart + 1));
+    EXPECT_FALSE(first.covers("b", SecondStart));
+}
+
+/** Guards against a set that grows with each upstream that a VM has ever run. */
+TEST(UpstreamDeparturesTest, KeepsTheLatestOfManyDepartures)
+{
+    constexpr int Upstreams = 100;
+    UpstreamDepartures departures;
+    for (int n = 0; n < Upstreams; ++n) {
+        departures.add("upstream-" + std::to_string(n), FirstStart);
+    }
+    EXPECT_FALSE(departures.covers("upstream-0", FirstStart));
+    EXPECT_TRUE(departures.covers("upstream-" + std::to_string(Upstreams - 1), FirstStart));
+    EXPECT_LT(departures.text().size(), 200U);
+}
+
+} // namespace Pimentohollow
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -70,7 +70,7 @@
     job->done = std::move(done);
     m_jobs.emplace(job->ticket, job);
     if (!isAccepting() || job->frame.service != m_environment.settings.service) {
-        refuse(job->ticket, m_unreachable && m_announced ? RunOutcome::Unreachable : RunOutcome::Leaving);
+        refuse(job->ticket, m_unreachable && m_lifecycle.isKnown() ? RunOutcome::Unreachable : RunOutcome::Leaving);
         return job->ticket;
     }
     const Duration usual = m_queue.runTime(job->frame.route);
@@ -125,77 +125,76 @@
     if (announcement.service != m_environment.settings.service) {
         return false;
     }
-    const std::string incarnation = incarnationOf(announcement);
-    const bool sameIncarnation = m_announced && incarnation == m_incarnation;
-    const bool outdated = m_announced
-        && (announcement.startedAt < m_announcement.startedAt || (sameIncarnation && announcement.sequence <= m_announcement.sequence));
-    if (!outdated && m_notices.isLeaving(incarnation)) {
-        m_departedIncarnation = incarnation;
-    }
-    if (outdated || incarnation == m_departedIncarnation) {
-        return !outdated || sameIncarnation;
-    }
-    const bool wasAccepting = isAccepting();
-    if (!sameIncarnation && m_announced) {
-        Log.info("upstream_replaced", { { "old", m_incarnation }, { "new", incarnation } });
-        m_environment.crashes.crashed({ m_environment.settings.node, static_cast<std::uint64_t>(m_announcement.startedAt) + m_crashCount });
-        m_idleConnections.clear();
-        m_averageQuality = 1;
-    }
-    m_incarnation = incarnation;
-    if (!sameIncarnation) {
-        m_notices.setIncarnation(incarnation);
-        m_queue.setRateLimit(m_notices.requestsPerSecond(), m_environment.loop.now());
-    }
-    m_announcement = announcement;
-    m_coldStartUntil = m_environment.loop.now() + announcement.coldTime;
-    m_announced = true;
-    m_replaced = false;
-    if (!sameIncarnation) {
-        m_unreachable = false;
-    }
-    applyState();
-    if (wasAccepting != isAccepting() || !sameIncarnation) {
+    ReportEffect effect = ReportEffect::Outdated;
+    updateLifecycle([&] {
+        const UpstreamReport previous = m_lifecycle.lastReport();
+        effect = m_lifecycle.apply(announcement);
+        if (effect != ReportEffect::Started && effect != ReportEffect::Updated) {
+            return;
+        }
+        if (effect == ReportEffect::Started) {
+            if (!m_incarnation.empty()) {
+                recordReplacement(previous);
+            }
+            m_incarnation = incarnationOf(announcement);
+            m_unreachable = false;
+            m_notices.setIncarnation(m_incarnation);
+            m_queue.setRateLimit(m_notices.requestsPerSecond(), m_environment.loop.now());
+            if (m_notices.isLeaving(m_incarnation)) {
+                m_lifecycle.recordLeaving();
+            }
+        }
+        m_coldStartUntil = m_environment.loop.now() + announcement.coldTime;
+        m_replaced = false;
+    });
+    if (effect == ReportEffect::Started) {
         Log.info("upstream_announced",
-                 { { "upstream", incarnation },
+                 { { "upstream", m_incarnation },
                    { "sequence", std::to_string(announcement.sequence) },
                    { "slots", std::to_string(announcement.slots) },
                    { "state", announcement.draining ? "draining" : "ready" } });
     }
-    if (announcement.draining) {
-        m_departedIncarnation = incarnation;
-    }
-    if (wasAccepting != isAccepting()) {
-        m_environment.acceptingChanged();
-    }
-    return true;
+    return effect != ReportEffect::Outdated || announcement.draining;
 }
 
-bool UpstreamRunner::depart(const std::string &id)
+void UpstreamRunner::depart(const std::string &id)
+{
+    updateLifecycle([&] {
+        m_lifecycle.deregister(id, m_environment.loop.clock().wallNow());
+    });
+}
+
+void UpstreamRunner::applyDepartures(const UpstreamDepartures &departures)
+{
+    updateLifecycle([&] {
+        m_lifecycle.applyDepartures(departures);
+    });
+}
+
+void UpstreamRunner::updateLifecycle(const std::function<void()> &change)
 {
-    if (m_announced && m_announcement.id != id) {
-        return false;
-    }
     const bool wasAccepting = isAccepting();
-    if (m_announced) {
-        m_announcement.draining = true;
-        m_departedIncarnation = m_incarnation;
-    }
+    const UpstreamDepartures before = m_lifecycle.departures();
+    change();
     applyState();
-    Log.info("upstream_departed", { { "upstream", id } });
-    if (wasAccepting) {
-        m_environment.acceptingChanged();
+    const bool departed = m_lifecycle.departures() != before;
+    if (departed) {
+        Log.info("upstream_departed",
+                 { { "departures", m_lifecycle.departures().text() },
+                   { "upstream", m_incarnation },
+                   { "in_use", m_lifecycle.isUsable() ? "yes" : "no" } });
+    }
+    if (departed || wasAccepting != isAccepting()) {
+        m_environment.upstreamChanged();
     }
-    return true;
 }
 
-void UpstreamRunner::setDepartedIncarnation(const std::string &incarnation)
+void UpstreamRunner::recordReplacement(const UpstreamReport &previous)
 {
-    m_departedIncarnation = incarnation;
-    if (m_announced && incarnation == m_incarnation) {
-        m_announcement.draining = true;
-        applyState();
-    }
+    Log.info("upstream_replaced", { { "old", m_incarnation } });
+    m_environment.crashes.crashed({ m_environment.settings.node, static_cast<std::uint64_t>(previous.startedAt) + m_crashCount });
+    m_idleConnections.clear();
+    m_averageQuality = 1;
 }
 
 void UpstreamRunner::close()
@@ -289,13 +288,13 @@
 
 bool UpstreamRunner::isAccepting() const
 {
-    return m_announced && !m_closed && !m_announcement.draining && !m_unreachable && !m_replaced;
+    return m_lifecycle.isUsable() && !m_closed && !m_unreachable && !m_replaced;
 }
 
 void UpstreamRunner::applyState()
 {
     if (isAccepting()) {
-        m_queue.setSlots(m_announcement.slots);
+        m_queue.setSlots(m_lifecycle.lastReport().slots);
         applySchedule(m_queue.schedule(m_environment.loop.now()), RunOutcome::Full);
         return;
     }
@@ -415,7 +414,7 @@
     job.sentAt = now;
     job.incarnation = m_incarnation;
     setHeader(headers, names.deadline, std::to_string(allowed.count()));
-    setHeader(headers, names.expectedUpstream, m_announcement.id);
+    setHeader(headers, names.expectedUpstream, m_lifecycle.lastReport().id);
     return serializeRequest(job.frame.request, m_environment.settings.upstream.text());
 }
 
@@ -438,7 +437,7 @@
         Log.warning("upstream_misdirected", { { "expected", m_incarnation } });
         m_replaced = true;
         applyState();
-        m_environment.acceptingChanged();
+        m_environment.upstreamChanged();
         return replyWithoutResponse(RunOutcome::Rejected);
     }
     recordNotice(message.headers, job);
@@ -472,7 +471,7 @@
 {
     const UpstreamNotice previous = m_notices.notice();
     m_notices.applyReport(report);
-    if (m_announced) {
+    if (m_lifecycle.isKnown()) {
         applyNotice(previous, "peer");
     }
 }
@@ -488,16 +487,14 @@
                    { "source", std::string(source) } });
         m_queue.setRateLimit(m_notices.requestsPerSecond(), m_environment.loop.now());
     }
-    const bool wasAccepting = isAccepting();
-    if (current.leaving && !m_announcement.draining) {
+    if (current.leaving && m_lifecycle.isUsable()) {
         Log.info("upstream_leaving", { { "upstream", m_incarnation }, { "source", std::string(source) } });
-        m_announcement.draining = true;
-        m_departedIncarnation = m_incarnation;
-        applyState();
+        updateLifecycle([this] {
+            m_lifecycle.recordLeaving();
+        });
     }
-    const bool limitBeganOrEnded = (current.milliLimit == 0) != (previous.milliLimit == 0);
-    if (limitBeganOrEnded || wasAccepting != isAccepting()) {
-        m_environment.acceptingChanged();
+    if ((current.milliLimit == 0) != (previous.milliLimit == 0)) {
+        m_environment.upstreamChanged();
     }
 }
 
@@ -532,7 +529,7 @@
 {
     const TimePoint now = m_environment.loop.now();
     const Duration limit = idleLimit.value_or(DefaultIdleTimeout) - IdleTimeoutMargin;
-    if (limit <= Duration::zero() || m_idleConnections.size() > m_announcement.slots) {
+    if (limit <= Duration::zero() || m_idleConnections.size() > m_lifecycle.lastReport().slots) {
         return;
     }
     // The list is ordered by age, so the oldest connections, at the front, expire first.
@@ -640,10 +637,11 @@
     // A refused or unanswered connection right after a failure means that the process is gone. All requests that ran there are suspects.
     Log.warning("upstream_unreachable", { { "upstream", m_incarnation }, { "error", socket.error().describe() } });
     m_unreachable = true;
-    m_environment.crashes.crashed({ m_environment.settings.node, static_cast<std::uint64_t>(m_announcement.startedAt) + m_crashCount++ });
+    m_environment.crashes.crashed(
+        { m_environment.settings.node, static_cast<std::uint64_t>(m_lifecycle.lastReport().startedAt) + m_crashCount++ });
     m_idleConnections.clear();
     applyState();
-    m_environment.acceptingChanged();
+    m_environment.upstreamChanged();
     loop.spawn([this] {
         probeUntilReachable();
     });
@@ -658,7 +656,7 @@
             Log.info("upstream_reachable", { { "upstream", m_incarnation } });
             m_unreachable = false;
             applyState();
-            m_environment.acceptingChanged();
+            m_environment.upstreamChanged();
         }
     }
 }
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -5,10 +5,10 @@
 #include "mesh/decisions/callparentfinder.h"
 #include "mesh/decisions/shutdownplan.h"
 #include "mesh/decisions/slotqueue.h"
+#include "mesh/decisions/upstreamlifecycle.h"
 #include "mesh/decisions/upstreamnotices.h"
 #include "mesh/messages/meshframes.h"
 #include "mesh/model/meshsettings.h"
-#include "mesh/model/upstreamreport.h"
 #include "metrics/metricregistry.h"
 #include "poison/crashtracker.h"
 
@@ -46,8 +46,9 @@
         CrashTracker &crashes;
         BufferBudget &bufferBudget;
         MetricRegistry &metrics;
-        /** Called when the upstream starts or stops accepting requests, or its limit begins or ends. */
-        std::function<void()> acceptingChanged;
+        /** Called when the upstream starts or stops accepting requests, when a departure becomes known, and when its limit begins or ends.
+         */
+        std::function<void()> upstreamChanged;
     };
 
     explicit UpstreamRunner(Environment environment);
@@ -57,18 +58,20 @@
     /** Cancels a request. A waiting request is dropped; a running idempotent request is aborted. */
     void cancel(std::uint64_t ticket);
 
-    /** Applies an announcement of the upstream. Returns false if it is outdated or from another service. */
+    /**
+     * Applies an announcement of the upstream. Returns false if it is from another service, or from a process that another one has replaced
+     * and that doesn't leave.
+     */
     bool announce(const UpstreamReport &announcement);
-    /** Handles the deregistration of upstream @p id. Returns false if a different upstream has announced itself. */
-    bool depart(const std::string &id);
-    /** Sets the incarnation that departed before this node was restarted; its late announcements are ignored. */
-    void setDepartedIncarnation(const std::string &incarnation);
+    /** Records the departure of upstream @p id, whether or not it has announced itself. */
+    void depart(const std::string &id);
+    /** Adds departures that an earlier process of this node recorded. */
+    void applyDepartures(const UpstreamDepartures &departures);
     /** Applies what another node keeps of the upstream from the time before this node was restarted. */
     void applyReport(const UpstreamNotice &report);
-    /** Incarnation that departed last; empty if none has. */
-    const std::string &departedIncarnation() const
+    const UpstreamLifecycle &lifecycle() const
     {
-        return m_departedIncarnation;
+        return m_lifecycle;
     }
 
     /** Stops accepting requests because the node shuts down. */
@@ -138,6 +141,9 @@
     };
 
     bool isAccepting() const;
+    /** Applies a change of the lifecycle. */
+    void updateLifecycle(const std::function<void()> &change);
+    void recordReplacement(const UpstreamReport &previous);
     /** Requests that were sent to the upstream and haven't ended. */
     std::vector<RunningRequest> runningRequests() const;
     void applyState();
@@ -167,10 +173,8 @@
 
     Environment m_environment;
     std::string m_incarnation;
-    UpstreamReport m_announcement;
+    UpstreamLifecycle m_lifecycle;
     TimePoint m_coldStartUntil{};
-    std::string m_departedIncarnation;
-    bool m_announced = false;
     bool m_closed = false;
     bool m_unreachable = false;
     bool m_probing = false;
