Keep an acknowledged departure across a planned stop of its node

Seen by callers: an upstream deregisters, which is acknowledged, and goes on serving. The node beside it is stopped with SIGTERM and started again, as in a rolling restart. A late report of the upstream arrives, and it gets requests after its departure.

Cause: a stopping node whose upstream had left removed its directory entry, so that other nodes stop connecting to it. The entry was also the only place that outlives the process and knows of the departure.

Fix: the entry is marked as withdrawn instead. Other nodes treat it as removed; the next process of the node reads the departures from it before it writes its own entry. The nodes that watch the store remove a withdrawn entry after a minute, by its incarnation, as they do with entries of dead nodes. An entry is withdrawn if the running upstream has left, not if any upstream of the VM ever has.

Tests: DepartureTest fails before in DeregisteredThenStopped, DrainingThenStopped and StoppedThenDeregisteredThenStopped. No test waits the minute after which the entry is removed.

--- a/modules/mesh/model/fleetstore.h
+++ b/modules/mesh/model/fleetstore.h
@@ -26,13 +26,18 @@
     std::uint64_t incarnation = 0;
     /** Processes of the upstream beside the node that must not receive requests again, even after a restart of the node. */
     UpstreamDepartures departures;
+    /**
+     * True if the node has ended because its upstream has left. The entry then only keeps the departures for the next process of the node;
+     * other nodes don't connect to it.
+     */
+    bool withdrawn = false;
 
     bool operator==(const DirectoryEntry &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(node, dataCentre, service, peerAddress, incarnation, departures);
+        archive(node, dataCentre, service, peerAddress, incarnation, departures, withdrawn);
     }
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -224,7 +224,7 @@
         finishShutDown();
     });
     m_rulesWatcher.stop();
-    m_peerDirectory.leave(upstreamHasLeft());
+    m_peerDirectory.leave();
 }
 
 bool MeshNode::isReady() const
@@ -288,9 +288,13 @@
 DirectoryEntry MeshNode::ownEntry() const
 {
     const auto &settings = m_environment.settings;
-    return { settings.node,    settings.dataCentre,
-             settings.service, settings.advertisedPeerAddress.value_or(settings.peerListener),
-             m_incarnation,    m_upstreamRunner.lifecycle().departures() };
+    return { settings.node,
+             settings.dataCentre,
+             settings.service,
+             settings.advertisedPeerAddress.value_or(settings.peerListener),
+             m_incarnation,
+             m_upstreamRunner.lifecycle().departures(),
+             m_shuttingDown && upstreamHasLeft() };
 }
 
 std::vector<UpstreamOption> MeshNode::upstreamOptions(const ServiceName &service) const
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds EntryReturnTime(2500);
 /** The store entry of a node that has been unreachable for this long is removed. */
 constexpr std::chrono::seconds DeadPeerTimeout(60);
+/** A withdrawn entry is removed after this long. Reports of its upstream that are still on their way arrive within seconds. */
+constexpr std::chrono::seconds WithdrawnEntryRetention(60);
 constexpr std::chrono::milliseconds WrittenCheckInterval(5);
 const Logger Log("mesh");
 
@@ -57,10 +59,10 @@
 void PeerDirectory::handleNewEra()
 {
     m_writtenDepartures = {};
-    if (m_withdrawn) {
-        withdraw(m_environment.ownEntry(), "withdrawn");
-    }
     if (m_left) {
+        if (m_environment.ownEntry().withdrawn) {
+            publish();
+        }
         return;
     }
     startWatch();
@@ -69,19 +71,18 @@
     });
 }
 
-void PeerDirectory::leave(bool withdraws)
+void PeerDirectory::leave()
 {
     m_left = true;
-    if (withdraws) {
-        m_writePending = false;
-        m_withdrawn = true;
-        withdraw(m_environment.ownEntry(), "withdrawn");
+    if (m_environment.ownEntry().withdrawn) {
+        publish();
     }
 }
 
 void PeerDirectory::stop()
 {
     m_left = true;
+    m_stopped = true;
     for (const auto &[key, link] : m_links) {
         link->stop();
     }
@@ -195,7 +196,7 @@
 void PeerDirectory::write()
 {
     Backoff backoff = storeBackoff();
-    while (m_writePending) {
+    while (m_writePending && !m_stopped) {
         m_writePending = false;
         const auto entry = m_environment.ownEntry();
         const auto published = m_environment.store.publish(entry);
@@ -206,7 +207,10 @@
             continue;
         }
         m_writtenDepartures = entry.departures;
-        Log.info("entry_written", { { "era", std::to_string(*published) }, { "departed", entry.departures.text() } });
+        Log.info("entry_written",
+                 { { "era", std::to_string(*published) },
+                   { "departed", entry.departures.text() },
+                   { "withdrawn", entry.withdrawn ? "yes" : "no" } });
     }
     m_writing = false;
     m_published = true;
@@ -263,6 +267,7 @@
         return;
     }
     const auto &key = std::get<DirectoryRemoval>(change).key;
+    m_withdrawnEntries.erase(key);
     if (key != ownKey) {
         // A connected node is alive whatever the store says, and has to be told that its entry is gone. It may also have restarted since.
         m_missingKeys.emplace(key, m_environment.loop.now());
@@ -299,7 +304,16 @@
     if (key == keyOf(m_environment.ownEntry())) {
         return;
     }
+    if (entry.withdrawn) {
+        // A node that is stopping may still tell so itself; until the store has its entry, its peers keep what it must be told after a
+        // restart.
+        if (fromStore) {
+            retire(entry);
+        }
+        return;
+    }
     m_missingKeys.erase(key);
+    m_withdrawnEntries.erase(key);
     const auto found = m_links.find(key);
     if (found != m_links.end()) {
         // A connected node has told its entry itself; the store's may be of an earlier process, whose clock may have been ahead.
@@ -322,6 +336,18 @@
     m_environment.onPeersChanged();
 }
 
+void PeerDirectory::retire(const DirectoryEntry &entry)
+{
+    const std::string key = keyOf(entry);
+    const auto found = m_links.find(key);
+    if (found != m_links.end() && found->second->entry().incarnation > entry.incarnation) {
+        return; // a later process has connected
+    }
+    const TimePoint now = m_environment.loop.now();
+    m_missingKeys.emplace(key, now);
+    m_withdrawnEntries.try_emplace(key, entry, now + WithdrawnEntryRetention);
+}
+
 void PeerDirectory::remove(const std::string &key)
 {
     const auto found = m_links.find(key);
@@ -343,6 +369,7 @@
     }
     removeMissing(now);
     removeDead(now);
+    removeWithdrawn(now);
 }
 
 void PeerDirectory::removeMissing(TimePoint now)
@@ -371,6 +398,20 @@
     }
 }
 
+void PeerDirectory::removeWithdrawn(TimePoint now)
+{
+    if (m_withdrawnEntries.empty() || !m_environment.watchesStore()) {
+        return;
+    }
+    const auto expired = std::find_if(m_withdrawnEntries.begin(), m_withdrawnEntries.end(), [now](const auto &it) {
+        return now >= it.second.second;
+    });
+    if (expired != m_withdrawnEntries.end()) {
+        withdraw(expired->second.first, "withdrawn_entry_removed");
+        m_withdrawnEntries.erase(expired);
+    }
+}
+
 void PeerDirectory::withdraw(const DirectoryEntry &entry, std::string_view event)
 {
     m_environment.loop.spawn([this, entry, event = std::string(event)] {
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -56,8 +56,8 @@
      * when the store has come back from a copy.
      */
     void handleNewEra();
-    /** Stops watching the directory and restoring this node's entry. @param withdraws true to remove the entry from the store as well */
-    void leave(bool withdraws);
+    /** Stops watching the directory, and restoring this node's entry unless it is withdrawn. A withdrawn entry is written. */
+    void leave();
     /** Stops watching the directory and closes all links. */
     void stop();
 
@@ -104,22 +104,26 @@
     void applyAll(const std::vector<DirectoryEntry> &entries);
     void applyOwn(const DirectoryEntry &entry);
     void remove(const std::string &key);
+    /** Handles the withdrawn entry of another node. */
+    void retire(const DirectoryEntry &entry);
     void removeMissing(TimePoint now);
     void removeDead(TimePoint now);
+    void removeWithdrawn(TimePoint now);
     void withdraw(const DirectoryEntry &entry, std::string_view event);
 
     Environment m_environment;
     std::map<std::string, std::shared_ptr<MeshLink>> m_links;
     /** Keys of known nodes that have no entry in the store, and the time from which they are removed unless they are connected. */
     std::map<std::string, TimePoint> m_missingKeys;
+    /** Withdrawn entries, by key, and the time from which they are removed from the store. */
+    std::map<std::string, std::pair<DirectoryEntry, TimePoint>> m_withdrawnEntries;
     bool m_directoryRead = false;
     /** Number of the watch in progress. Earlier ones end with their calls, which may wait long. */
     unsigned m_currentWatch = 0;
     /** True if the last directory call to the store failed. */
     bool m_lastCallFailed = false;
     bool m_left = false;
-    /** True if leave() has removed this node's entry. */
-    bool m_withdrawn = false;
+    bool m_stopped = false;
     /** True while this node's entry is being written. */
     bool m_writing = false;
     /** True if this node's entry has to be written, or written again because it changed during a write. */
