Acknowledge a departure only if it outlives the process of the node

Seen by callers: while the store is away, an upstream deregisters, which is acknowledged after 3 s although nothing was written. The node is killed and started; a late report arrives, and the upstream gets requests again. The same without the store at the time of the restart: the entry has the departure, but the new process can't read it and uses the upstream all the same.

Cause: what a node acknowledged was kept in its entry in the store and nowhere else, the acknowledgement didn't depend on the write, and a new process took "not read yet" for "nothing has left".

Weighed, for the time without the store: acknowledging in any case (as before) is lost with one process. Never acknowledging keeps the rule, but an operator can't take an upstream away in an outage of the store. So the other nodes keep departures, as they keep the limit that an upstream names: they hear of them in statuses, replies and digests and send them in the first frame to a restarted node. A departure is acknowledged when the store has it or, 0.4 s after the write began, when more than half of the other nodes confirm that they keep it (UpstreamNoticeFrame). Otherwise the answer is 503 after 3 s; the departure binds the node all the same. What is lost: departures acknowledged while the store is away, if the node and most others end before it returns.

A new process uses its upstream once it has read its entry or has heard from one peer. It has no rules before either, so that this costs no service.

UpstreamNotice has the departures in place of a flag for one incarnation; UpstreamLifecycle decides who has to keep them, UpstreamNotices keeps limits only.

--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -1,5 +1,7 @@
 #include "mesh/decisions/upstreamlifecycle.h"
 
+#include <algorithm>
+
 namespace Pimentohollow
 {
 
@@ -33,9 +35,31 @@
     }
 }
 
-void UpstreamLifecycle::applyDepartures(const UpstreamDepartures &departures)
+void UpstreamLifecycle::recall(const UpstreamDepartures &departures)
 {
     m_departures.merge(departures);
+    m_recalled = true;
+}
+
+void UpstreamLifecycle::setKept(const NodeName &peer, const UpstreamDepartures &departures)
+{
+    m_keptByPeers[peer] = departures;
+}
+
+void UpstreamLifecycle::forgetPeer(const NodeName &peer)
+{
+    m_keptByPeers.erase(peer);
+}
+
+bool UpstreamLifecycle::isKept(std::size_t peers) const
+{
+    if (isWritten()) {
+        return true;
+    }
+    const auto keeping = std::count_if(m_keptByPeers.begin(), m_keptByPeers.end(), [this](const auto &it) {
+        return it.second.includes(m_departures);
+    });
+    return static_cast<std::size_t>(keeping) * 2 > peers;
 }
 
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/upstreamlifecycle.h
+++ b/modules/mesh/decisions/upstreamlifecycle.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/names.h"
 #include "mesh/model/upstreamdepartures.h"
 #include "mesh/model/upstreamreport.h"
 
+#include <map>
+
 namespace Pimentohollow
 {
 
@@ -16,11 +19,14 @@
 };
 
 /**
- * Which process of the upstream beside a node is running, and which have left. The only owner of that state.
+ * Which process of the upstream beside a node is running, which have left, and who else keeps that. The only owner of that state.
  *
  * A departure is recorded whatever is known of its process at that time: messages may be late, and the node may have been restarted.
  * A process that has left receives no requests again, whatever it, or a message that it sent before, reports afterwards.
  *
+ * What the node acknowledges has to outlive its process. The store's entry of the node keeps it; while the store can't be written, most of
+ * the other nodes do, and tell the node after a restart. Until a new process of the node has heard of either, its upstream isn't used.
+ *
  * Not thread-safe; the caller passes the time.
  */
 class UpstreamLifecycle
@@ -35,8 +41,31 @@
     void deregister(const std::string &id, WallTime receivedAt);
     /** Records that the running process leaves, by its own responses. */
     void recordLeaving();
-    /** Adds departures that an earlier process of this node, or another node, recorded. */
-    void applyDepartures(const UpstreamDepartures &departures);
+    /** Adds departures that an earlier process of this node recorded and that the store, or another node, has kept. */
+    void recall(const UpstreamDepartures &departures);
+
+    /** Records that the store's entry of this node has these departures. */
+    void setWritten(const UpstreamDepartures &departures)
+    {
+        m_written = departures;
+    }
+
+    /** Records the departures that another node keeps. */
+    void setKept(const NodeName &peer, const UpstreamDepartures &departures);
+    /** Must be called when the connection of that node is lost, because its process may have ended. */
+    void forgetPeer(const NodeName &peer);
+
+    /** True if the store has all departures. */
+    bool isWritten() const
+    {
+        return m_written.includes(m_departures);
+    }
+
+    /**
+     * True if all departures outlive this process: the store has them, or more than half of the other nodes keep them.
+     * @param peers number of the other nodes that are known
+     */
+    bool isKept(std::size_t peers) const;
 
     /** True if a report is known. */
     bool isKnown() const
@@ -50,8 +79,14 @@
         return m_lastReport;
     }
 
-    /** True if the running process is known and hasn't left. */
+    /** True if the running process is known and hasn't left, as far as this node has ever acknowledged. */
     bool isUsable() const
+    {
+        return m_recalled && hasRunningProcess();
+    }
+
+    /** As isUsable(), but by what this process of the node has heard so far. */
+    bool hasRunningProcess() const
     {
         return m_known && !m_departures.covers(m_lastReport.id, m_lastReport.startedAt);
     }
@@ -63,8 +98,11 @@
 
 private:
     bool m_known = false;
+    bool m_recalled = false;
     UpstreamReport m_lastReport;
     UpstreamDepartures m_departures;
+    UpstreamDepartures m_written;
+    std::map<NodeName, UpstreamDepartures> m_keptByPeers;
 };
 
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/upstreamnotices.cpp
+++ b/modules/mesh/decisions/upstreamnotices.cpp
@@ -21,14 +21,11 @@
     return limit >= Maximum ? Maximum : std::max<std::uint32_t>(1, static_cast<std::uint32_t>(limit));
 }
 
-/** Adds to @p notice what @p report says of the same incarnation. */
-void merge(UpstreamNotice &notice, const UpstreamNotice &report)
+/** Applies the limit in @p report to a notice of the same incarnation. */
+void applyLimit(UpstreamNotice &notice, const UpstreamNotice &report)
 {
     notice.incarnation = report.incarnation;
-    notice.leaving = notice.leaving || report.leaving;
-    if (report.milliLimit != 0) {
-        notice.milliLimit = notice.milliLimit == 0 ? report.milliLimit : std::min(notice.milliLimit, report.milliLimit);
-    }
+    notice.milliLimit = notice.milliLimit == 0 ? report.milliLimit : std::min(notice.milliLimit, report.milliLimit);
 }
 
 } // namespace
@@ -49,43 +46,27 @@
 void UpstreamNotices::recordResponse(const ResponseNotice &response, TimePoint sentAt, TimePoint now)
 {
     m_responded = true;
-    m_current.leaving = m_current.leaving || response.leaving;
     if (response.requestsPerSecond) {
         m_current.milliLimit = toMilliLimit(*response.requestsPerSecond);
         m_limitNamedAt = now;
     } else if (sentAt > m_limitNamedAt) {
         m_current.milliLimit = 0;
     }
-    m_current.incarnation = m_current.leaving || m_current.milliLimit != 0 ? m_incarnation : std::string();
+    m_current.incarnation = m_current.milliLimit != 0 ? m_incarnation : std::string();
 }
 
 void UpstreamNotices::applyReport(const UpstreamNotice &report)
 {
-    if (report.incarnation.empty()) {
+    if (report.milliLimit == 0) {
         return;
     }
     if (report.incarnation != m_incarnation) {
         if (m_reports.contains(report.incarnation) || m_reports.size() < MaximumReports) {
-            merge(m_reports[report.incarnation], report);
+            applyLimit(m_reports[report.incarnation], report);
         }
-        return;
-    }
-    UpstreamNotice applicable = report;
-    if (m_responded) {
-        applicable.milliLimit = 0;
-    }
-    if (applicable.leaving || applicable.milliLimit != 0) {
-        merge(m_current, applicable);
-    }
-}
-
-bool UpstreamNotices::isLeaving(const std::string &incarnation) const
-{
-    if (incarnation == m_incarnation) {
-        return m_current.leaving;
+    } else if (!m_responded) {
+        applyLimit(m_current, report);
     }
-    const auto found = m_reports.find(incarnation);
-    return found != m_reports.end() && found->second.leaving;
 }
 
 std::optional<double> UpstreamNotices::requestsPerSecond() const
@@ -100,16 +81,17 @@
 
 void RemoteNotice::applyDirect(const UpstreamNotice &notice)
 {
-    // A node that has restarted may not know yet that its upstream leaves. The report of an earlier incarnation does no harm.
-    if (!notice.incarnation.empty() || !m_notice.leaving) {
-        m_notice = notice;
-    }
+    m_notice.incarnation = notice.incarnation;
+    m_notice.milliLimit = notice.milliLimit;
+    m_notice.departures.merge(notice.departures);
 }
 
 void RemoteNotice::applyRelayed(const UpstreamNotice &notice)
 {
-    if (!notice.incarnation.empty() && !(m_notice.leaving && m_notice.incarnation == notice.incarnation)) {
-        m_notice = notice;
+    m_notice.departures.merge(notice.departures);
+    if (notice.milliLimit != 0) {
+        m_notice.incarnation = notice.incarnation;
+        m_notice.milliLimit = notice.milliLimit;
     }
 }
 
--- a/modules/mesh/decisions/upstreamnotices.h
+++ b/modules/mesh/decisions/upstreamnotices.h
@@ -9,7 +9,7 @@
 {
 
 /**
- * What the node beside an upstream knows of it from its responses: the limit that it names, and that it leaves.
+ * The limit that an upstream names in its responses, as the node beside it knows it.
  *
  * All requests to the upstream pass through this node, so its own observations are authoritative. They are lost when its process restarts.
  * Each node that uses the upstream therefore keeps the last notice that it received (RemoteNotice) and sends it before its first request
@@ -29,18 +29,15 @@
     void recordResponse(const ResponseNotice &response, TimePoint sentAt, TimePoint now);
 
     /**
-     * Applies what another node keeps of the upstream, possibly before its incarnation has announced itself. A limit is only applied until
+     * Applies the limit that another node keeps of the upstream, possibly before its incarnation has announced itself, and only until
      * the first response to this process; the lowest reported one applies, because the reports may be of different age.
      */
     void applyReport(const UpstreamNotice &report);
 
-    /** True if @p incarnation has said that it leaves. An upstream that leaves doesn't return under the same incarnation. */
-    bool isLeaving(const std::string &incarnation) const;
-
     /** Limit of the current incarnation; nothing if it names none. */
     std::optional<double> requestsPerSecond() const;
 
-    /** The notice to report to other nodes; before the upstream has announced itself, what others reported. */
+    /** The limit to report to other nodes, without departures; before the upstream has announced itself, what others reported. */
     UpstreamNotice notice() const;
 
 private:
@@ -56,9 +53,9 @@
 class RemoteNotice
 {
 public:
-    /** Applies the notice in a status or a reply that came from the node itself. */
+    /** Applies the notice in a frame that came from the node itself. A restarted node may not know yet of earlier departures. */
     void applyDirect(const UpstreamNotice &notice);
-    /** Applies the notice in a digest, which may be older than the last direct one; it is used only if it says something. */
+    /** Applies the notice in a digest, which may be older than the last direct one; its limit is used only if it names one. */
     void applyRelayed(const UpstreamNotice &notice);
 
     const UpstreamNotice &notice() const
--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -97,6 +97,13 @@
         m_upstreamNotice.applyDirect(load.notice);
     }
 
+    /** Keeps a notice of the peer's upstream that the peer itself has sent, and returns all that is kept. */
+    const UpstreamNotice &keepNotice(const UpstreamNotice &notice)
+    {
+        m_upstreamNotice.applyDirect(notice);
+        return m_upstreamNotice.notice();
+    }
+
     /** True if the peer can reach the store, according to its last status. */
     bool watchesStore() const
     {
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -147,7 +147,7 @@
     std::uint32_t runMicroseconds = 0;
     /** Moving average of the request outcomes; 0 is the worst, 255 the best. */
     std::uint8_t quality = 255;
-    /** What the upstream's responses say about it, for the other nodes to keep. */
+    /** What the other nodes keep for this one. */
     UpstreamNotice notice;
 
     bool operator==(const LoadReport &) const = default;
@@ -351,6 +351,21 @@
     }
 };
 
+/**
+ * Asks a node to keep a notice of the sender's upstream, while the store can't keep it, or answers with what the sender keeps of the
+ * receiver's upstream.
+ */
+struct UpstreamNoticeFrame {
+    UpstreamNotice notice;
+    bool wantsAnswer = false;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(notice, wantsAnswer);
+    }
+};
+
 using MeshFrame = std::variant<HelloFrame,
                                RunFrame,
                                CancelFrame,
@@ -360,6 +375,7 @@
                                RulesFrame,
                                PingFrame,
                                DirectoryFrame,
-                               DigestFrame>;
+                               DigestFrame,
+                               UpstreamNoticeFrame>;
 
 } // namespace Pimentohollow
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -26,7 +26,12 @@
 /** Time after a stop request during which other nodes may use the upstream; the node serves its own callers for longer anyway. */
 constexpr std::chrono::milliseconds PeerRequestTimeAfterStop(1900);
 /** Below the 4 s within which the platform expects an acknowledgement. */
-constexpr std::chrono::seconds DepartureWriteTimeout(3);
+constexpr std::chrono::seconds DepartureKeepTimeout(3);
+/** Time that the store has to keep a departure before the other nodes are asked. An upstream waits a second for an acknowledgement. */
+constexpr std::chrono::milliseconds DepartureWriteTime(400);
+/** Interval at which the other nodes are asked again, because some may have connected meanwhile. */
+constexpr std::chrono::milliseconds KeepRequestInterval(200);
+constexpr std::chrono::milliseconds KeptCheckInterval(5);
 /** Part of the shutdown grace reserved for sending the last responses. */
 constexpr std::chrono::milliseconds ShutDownMargin(300);
 /** Buffers may use 1/5 of the memory: they double in size while growing, and a body is copied into a frame. */
@@ -149,7 +154,10 @@
                             updateFleetSize();
                         },
                         [this](const UpstreamDepartures &departures) {
-                            m_upstreamRunner.applyDepartures(departures);
+                            m_upstreamRunner.recallDepartures(departures);
+                        },
+                        [this](const UpstreamDepartures &departures) {
+                            m_upstreamRunner.setWrittenDepartures(departures);
                         } })
     , m_startedAt(m_loop.clock().now())
 {
@@ -264,14 +272,41 @@
     m_upstreamRunner.close();
 }
 
-bool MeshNode::awaitDepartureWritten()
+bool MeshNode::awaitDeparturesKept()
 {
-    const UpstreamDepartures departures = m_upstreamRunner.lifecycle().departures();
-    const bool written = m_peerDirectory.awaitDeparturesWritten(departures, m_loop.clock().now() + DepartureWriteTimeout);
-    if (!written) {
-        Log.warning("departure_not_written", { { "departures", departures.text() } });
+    const auto &lifecycle = m_upstreamRunner.lifecycle();
+    const auto isKept = [&] {
+        return lifecycle.isKept(m_peerDirectory.links().size());
+    };
+    const TimePoint deadline = m_loop.clock().now() + DepartureKeepTimeout;
+    TimePoint nextRequestAt{};
+    while (!lifecycle.isWritten() && m_loop.clock().now() < deadline) {
+        const TimePoint now = m_loop.clock().now();
+        if (now >= m_publishRequestedAt + DepartureWriteTime) {
+            if (isKept()) {
+                break;
+            }
+            if (now >= nextRequestAt) {
+                nextRequestAt = now + KeepRequestInterval;
+                askPeersToKeepNotice();
+            }
+        }
+        m_loop.sleepFor(KeptCheckInterval);
+    }
+    if (!lifecycle.isWritten()) {
+        Log.warning("departure_not_written",
+                    { { "departures", lifecycle.departures().text() }, { "kept_by_peers", isKept() ? "yes" : "no" } });
+    }
+    return isKept();
+}
+
+void MeshNode::askPeersToKeepNotice()
+{
+    std::string bytes;
+    appendFrame(bytes, UpstreamNoticeFrame{ m_upstreamRunner.load().notice, true });
+    for (const auto &[connection, peer] : m_inboundPeers) {
+        connection->sendEncoded(bytes);
     }
-    return written;
 }
 
 void MeshNode::deregisterUpstream(const std::string &upstreamId)
@@ -282,7 +317,7 @@
 bool MeshNode::upstreamHasLeft() const
 {
     const auto &lifecycle = m_upstreamRunner.lifecycle();
-    return lifecycle.isKnown() ? !lifecycle.isUsable() : !lifecycle.departures().empty();
+    return !lifecycle.hasRunningProcess() && !lifecycle.departures().empty();
 }
 
 DirectoryEntry MeshNode::ownEntry() const
@@ -416,6 +451,7 @@
                                                                        }
                                                                        const auto peer = std::move(found->second);
                                                                        m_inboundPeers.erase(found);
+                                                                       m_upstreamRunner.forgetPeer(peer.node);
                                                                        for (const auto &[call, ticket] : peer.ticketsByCallId) {
                                                                            m_upstreamRunner.cancel(ticket);
                                                                        }
@@ -426,6 +462,14 @@
     connection->send(HelloFrame{ ownEntry(), {} });
 }
 
+void MeshNode::handleHello(const InboundConnection &connection, const HelloFrame &hello)
+{
+    m_inboundPeers[connection].node = hello.sender.node;
+    m_upstreamRunner.applyKeptNotice(hello.sender.node, hello.receiverUpstream);
+    m_peerDirectory.add(hello.sender, false);
+    sendInitialStatus(connection, hello.sender.dataCentre);
+}
+
 void MeshNode::sendInitialStatus(const InboundConnection &connection, const DataCentreName &dataCentre)
 {
     m_inboundPeers[connection].dataCentre = dataCentre;
@@ -448,9 +492,9 @@
             calls.erase(found);
         }
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
-        m_upstreamRunner.applyReport(hello->receiverUpstream);
-        m_peerDirectory.add(hello->sender, false);
-        sendInitialStatus(connection, hello->sender.dataCentre);
+        handleHello(connection, *hello);
+    } else if (const auto *kept = std::get_if<UpstreamNoticeFrame>(&frame)) {
+        m_upstreamRunner.applyKeptNotice(m_inboundPeers[connection].node, kept->notice);
     } else if (const auto *ping = std::get_if<PingFrame>(&frame)) {
         if (ping->wantsAnswer) {
             connection->send(PingFrame{});
@@ -494,6 +538,8 @@
         if (hello->sender.peerAddress == link.entry().peerAddress) {
             link.setEntry(hello->sender);
         }
+    } else if (const auto *request = std::get_if<UpstreamNoticeFrame>(&frame)) {
+        link.send(UpstreamNoticeFrame{ link.keepNotice(request->notice), false });
     }
 }
 
@@ -626,7 +672,8 @@
 void MeshNode::handleUpstreamChange()
 {
     sendStatus(true);
-    if (!m_peerDirectory.hasWritten(m_upstreamRunner.lifecycle().departures())) {
+    if (!m_upstreamRunner.lifecycle().isWritten()) {
+        m_publishRequestedAt = m_loop.clock().now();
         m_peerDirectory.publish();
     }
 }
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -74,11 +74,10 @@
     /** Records that an upstream has deregistered; true of any upstream id, also before the upstream has announced itself. */
     void deregisterUpstream(const std::string &upstreamId);
     /**
-     * Waits until the store has recorded all departures of upstreams, so that they aren't lost if the process is killed right after the
-     * acknowledgement. The wait is bounded, because the upstream must be able to leave while the store is unavailable. Returns false if the
-     * departures aren't written in time.
+     * Waits until all departures of upstreams outlive this process: the store has them or, while it can't be written, most of the other
+     * nodes keep them. Returns false if they don't in time; the departure must not be acknowledged then.
      */
-    bool awaitDepartureWritten();
+    bool awaitDeparturesKept();
 
     void setShutdownGrace(Duration grace)
     {
@@ -97,8 +96,9 @@
     struct InboundPeer {
         /** Tickets of the peer's running calls, by call id. */
         std::map<std::uint64_t, std::uint64_t> ticketsByCallId;
-        /** Not set until the peer has sent its hello frame. */
+        /** Neither is set until the peer has sent its hello frame. */
         std::optional<DataCentreName> dataCentre;
+        NodeName node;
     };
 
     DirectoryEntry ownEntry() const;
@@ -129,7 +129,10 @@
     StatusFrame makeStatus();
     /** @param toAllDataCentres true to send a summary to the nodes of other data centres as well */
     void sendStatus(bool toAllDataCentres);
+    void handleHello(const InboundConnection &connection, const HelloFrame &hello);
     void sendInitialStatus(const InboundConnection &connection, const DataCentreName &dataCentre);
+    /** Asks all connected nodes to keep what this node must not lose in a restart. */
+    void askPeersToKeepNotice();
     void sendDigest();
     void handleDigest(DigestFrame &&digest);
     void handleUpstreamChange();
@@ -162,6 +165,8 @@
     /** Connections opened by other nodes. */
     std::map<InboundConnection, InboundPeer> m_inboundPeers;
     TimePoint m_startedAt;
+    /** Time at which a departure was last to be written to the store. */
+    TimePoint m_publishRequestedAt{};
     /** Number of known nodes of the own data centre, excluding this one. */
     std::size_t m_localPeerCount = 0;
     TimePoint m_lastStatusAt{};
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -58,7 +58,7 @@
 
 void PeerDirectory::handleNewEra()
 {
-    m_writtenDepartures = {};
+    m_environment.departuresWritten({});
     if (m_left) {
         if (m_environment.ownEntry().withdrawn) {
             publish();
@@ -182,17 +182,6 @@
     }
 }
 
-bool PeerDirectory::awaitDeparturesWritten(const UpstreamDepartures &departures, TimePoint deadline)
-{
-    while (!hasWritten(departures)) {
-        if (m_environment.loop.clock().now() >= deadline) {
-            return false;
-        }
-        m_environment.loop.sleepFor(WrittenCheckInterval);
-    }
-    return true;
-}
-
 void PeerDirectory::write()
 {
     Backoff backoff = storeBackoff();
@@ -206,7 +195,7 @@
             m_environment.loop.sleepFor(backoff.next());
             continue;
         }
-        m_writtenDepartures = entry.departures;
+        m_environment.departuresWritten(entry.departures);
         Log.info("entry_written",
                  { { "era", std::to_string(*published) },
                    { "departed", entry.departures.text() },
@@ -243,6 +232,9 @@
         keys.insert(keyOf(it));
         apply(it);
     }
+    if (!keys.contains(ownKey)) {
+        m_environment.departuresRead({});
+    }
     // A node may be alive without an entry: it couldn't write it yet, or the store lost it.
     const TimePoint removableFrom = m_environment.loop.now() + EntryReturnTime;
     for (const auto &[key, link] : m_links) {
@@ -278,9 +270,8 @@
 
 void PeerDirectory::applyOwn(const DirectoryEntry &entry)
 {
-    if (entry.node == m_environment.ownEntry().node) {
-        m_environment.applyDepartures(entry.departures);
-    }
+    // An entry of another node at the same address says nothing of this node's upstream.
+    m_environment.departuresRead(entry.node == m_environment.ownEntry().node ? entry.departures : UpstreamDepartures());
     const auto own = m_environment.ownEntry();
     m_ownEntrySeen = m_ownEntrySeen || entry == own;
     if (!m_published) {
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -33,8 +33,10 @@
         std::function<void(const std::vector<DirectoryChange> &)> forwardChanges;
         /** Called when a node was added or removed. */
         std::function<void()> onPeersChanged;
-        /** Called with the departures in the entry that the store has of this node. */
-        std::function<void(const UpstreamDepartures &)> applyDepartures;
+        /** Called with the departures in the store's entry of this node when it is read, or with none if there is no such entry. */
+        std::function<void(const UpstreamDepartures &)> departuresRead;
+        /** Called with the departures in the store's entry of this node when it is written, and with none when the entry may be lost. */
+        std::function<void(const UpstreamDepartures &)> departuresWritten;
     };
 
     explicit PeerDirectory(Environment environment);
@@ -43,14 +45,6 @@
     void start();
     /** Writes this node's entry to the store, with retries until it succeeds. */
     void publish();
-    /** True if the store has an entry of this node with these departures. */
-    bool hasWritten(const UpstreamDepartures &departures) const
-    {
-        return m_writtenDepartures.includes(departures);
-    }
-
-    /** Waits until the store has an entry of this node with these departures; returns false if it hasn't by @p deadline. */
-    bool awaitDeparturesWritten(const UpstreamDepartures &departures, TimePoint deadline);
     /**
      * Reads the directory again if this node watches it, and restores the state of its own entry: written, or withdrawn. Must be called
      * when the store has come back from a copy.
@@ -129,8 +123,6 @@
     /** True if this node's entry has to be written, or written again because it changed during a write. */
     bool m_writePending = false;
     bool m_published = false;
-    /** The departures that this node's entry in the store has at least. */
-    UpstreamDepartures m_writtenDepartures;
     /** True once the store has returned the entry of this process. */
     bool m_ownEntrySeen = false;
 };
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -140,9 +140,6 @@
             m_unreachable = false;
             m_notices.setIncarnation(m_incarnation);
             m_queue.setRateLimit(m_notices.requestsPerSecond(), m_environment.loop.now());
-            if (m_notices.isLeaving(m_incarnation)) {
-                m_lifecycle.recordLeaving();
-            }
         }
         m_coldStartUntil = m_environment.loop.now() + announcement.coldTime;
         m_replaced = false;
@@ -164,10 +161,10 @@
     });
 }
 
-void UpstreamRunner::applyDepartures(const UpstreamDepartures &departures)
+void UpstreamRunner::recallDepartures(const UpstreamDepartures &departures)
 {
     updateLifecycle([&] {
-        m_lifecycle.applyDepartures(departures);
+        m_lifecycle.recall(departures);
     });
 }
 
@@ -215,6 +212,7 @@
     const double occupancySeconds = std::chrono::duration<double>(m_queue.occupancyTime()).count();
     report.runMicroseconds = static_cast<std::uint32_t>(std::max(m_averageRunSeconds, occupancySeconds) * 1e6);
     report.notice = m_notices.notice();
+    report.notice.departures = m_lifecycle.departures();
     constexpr double QualityScale = 255;
     const double coldStartFactor = m_environment.loop.now() < m_coldStartUntil ? ColdStartQualityFactor : 1;
     report.quality = static_cast<std::uint8_t>(std::lround(m_averageQuality * coldStartFactor * QualityScale));
@@ -465,12 +463,20 @@
     const UpstreamNotice previous = m_notices.notice();
     m_notices.recordResponse(*response, job.sentAt, m_environment.loop.clock().now());
     applyNotice(previous, "response");
+    if (response->leaving && m_lifecycle.hasRunningProcess()) {
+        Log.info("upstream_leaving", { { "upstream", m_incarnation }, { "request", requestIdOf(job) } });
+        updateLifecycle([this] {
+            m_lifecycle.recordLeaving();
+        });
+    }
 }
 
-void UpstreamRunner::applyReport(const UpstreamNotice &report)
+void UpstreamRunner::applyKeptNotice(const NodeName &peer, const UpstreamNotice &notice)
 {
+    m_lifecycle.setKept(peer, notice.departures);
+    recallDepartures(notice.departures);
     const UpstreamNotice previous = m_notices.notice();
-    m_notices.applyReport(report);
+    m_notices.applyReport(notice);
     if (m_lifecycle.isKnown()) {
         applyNotice(previous, "peer");
     }
@@ -487,12 +493,6 @@
                    { "source", std::string(source) } });
         m_queue.setRateLimit(m_notices.requestsPerSecond(), m_environment.loop.now());
     }
-    if (current.leaving && m_lifecycle.isUsable()) {
-        Log.info("upstream_leaving", { { "upstream", m_incarnation }, { "source", std::string(source) } });
-        updateLifecycle([this] {
-            m_lifecycle.recordLeaving();
-        });
-    }
     if ((current.milliLimit == 0) != (previous.milliLimit == 0)) {
         m_environment.upstreamChanged();
     }
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -65,10 +65,20 @@
     bool announce(const UpstreamReport &announcement);
     /** Records the departure of upstream @p id, whether or not it has announced itself. */
     void depart(const std::string &id);
-    /** Adds departures that an earlier process of this node recorded. */
-    void applyDepartures(const UpstreamDepartures &departures);
+    /** Adds departures that an earlier process of this node recorded and that the store has kept. */
+    void recallDepartures(const UpstreamDepartures &departures);
     /** Applies what another node keeps of the upstream from the time before this node was restarted. */
-    void applyReport(const UpstreamNotice &report);
+    void applyKeptNotice(const NodeName &peer, const UpstreamNotice &notice);
+    void forgetPeer(const NodeName &peer)
+    {
+        m_lifecycle.forgetPeer(peer);
+    }
+
+    /** Records that the store's entry of this node has these departures. */
+    void setWrittenDepartures(const UpstreamDepartures &departures)
+    {
+        m_lifecycle.setWritten(departures);
+    }
     const UpstreamLifecycle &lifecycle() const
     {
         return m_lifecycle;
