Read a node's entry before it is written again

Seen by callers: as before, an upstream in use after its departure was acknowledged, here after two restarts of its node.

Cause: a deregistration makes a node write its entry at once. A process that hasn't read the entry of the one before it, for example because the store refuses reads for a while, overwrites the departures in it.

Fix: PeerDirectory reads the node's own entry before its first write and adds its departures, with the same backoff as the write.

Test: EarlierDepartureIsNotOverwritten fails before and passes now; the stand-in for the store can refuse reads only. 72 tests of departures, restores and the directory passed.

--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -186,6 +186,11 @@
 {
     Backoff backoff = storeBackoff();
     while (m_writePending && !m_stopped) {
+        if (const auto read = readOwnEntry(); !read) {
+            Log.warning("own_entry_unknown", { { "error", read.error().describe() } });
+            m_environment.loop.sleepFor(backoff.next());
+            continue;
+        }
         m_writePending = false;
         const auto entry = m_environment.ownEntry();
         const auto published = m_environment.store.publish(entry);
@@ -205,6 +210,27 @@
     m_published = true;
 }
 
+Result<void> PeerDirectory::readOwnEntry()
+{
+    if (m_earlierEntryRead) {
+        return {};
+    }
+    const auto stored = m_environment.store.readEntry(m_environment.ownEntry().peerAddress);
+    if (!stored) {
+        return tl::unexpected(stored.error());
+    }
+    applyEarlierEntry(stored->entry);
+    return {};
+}
+
+void PeerDirectory::applyEarlierEntry(const std::optional<DirectoryEntry> &entry)
+{
+    m_earlierEntryRead = true;
+    // An entry of another node at the same address says nothing of this node's upstream.
+    const bool isOwn = entry && entry->node == m_environment.ownEntry().node;
+    m_environment.departuresRead(isOwn ? entry->departures : UpstreamDepartures());
+}
+
 void PeerDirectory::restoreEntry()
 {
     Backoff backoff = storeBackoff();
@@ -233,7 +259,7 @@
         apply(it);
     }
     if (!keys.contains(ownKey)) {
-        m_environment.departuresRead({});
+        applyEarlierEntry(std::nullopt);
     }
     // A node may be alive without an entry: it couldn't write it yet, or the store lost it.
     const TimePoint removableFrom = m_environment.loop.now() + EntryReturnTime;
@@ -270,8 +296,7 @@
 
 void PeerDirectory::applyOwn(const DirectoryEntry &entry)
 {
-    // An entry of another node at the same address says nothing of this node's upstream.
-    m_environment.departuresRead(entry.node == m_environment.ownEntry().node ? entry.departures : UpstreamDepartures());
+    applyEarlierEntry(entry);
     const auto own = m_environment.ownEntry();
     m_ownEntrySeen = m_ownEntrySeen || entry == own;
     if (!m_published) {
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -91,6 +91,10 @@
     /** Reads or watches the directory once. Errors: those of the store call. */
     Result<void> readOrWatchOnce(StorePosition &position, unsigned watch);
     void write();
+    /** Reads this node's entry if this process hasn't yet, so that a write keeps its departures. Errors: those of the store call. */
+    Result<void> readOwnEntry();
+    /** Applies the entry that the store has of this node, which may have been written by an earlier process. */
+    void applyEarlierEntry(const std::optional<DirectoryEntry> &entry);
     /** Waits until this node's entry is written, at most until @p deadline. */
     void awaitWritten(TimePoint deadline);
     /** Writes this node's entry again unless the store has it. */
@@ -123,6 +127,8 @@
     /** True if this node's entry has to be written, or written again because it changed during a write. */
     bool m_writePending = false;
     bool m_published = false;
+    /** True once this process has read the entry that the store has, or had, of this node. */
+    bool m_earlierEntryRead = false;
     /** True once the store has returned the entry of this process. */
     bool m_ownEntrySeen = false;
 };
--- a/testing/standins/mesh/rowstore.cpp
+++ b/testing/standins/mesh/rowstore.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint16_t NotFound = 404;
 constexpr std::uint16_t Gone = 410;
 constexpr std::uint16_t PreconditionFailed = 412;
+constexpr std::uint16_t TooManyRequests = 429;
 constexpr std::uint16_t ServiceUnavailable = 503;
 constexpr Duration FeedPause = 5ms;
 constexpr Duration LongSilence = 1h;
@@ -165,6 +166,9 @@
     if (m_faults.down) {
         return textResponse(ServiceUnavailable);
     }
+    if (m_faults.refusesReads && request.method == "GET") {
+        return textResponse(TooManyRequests);
+    }
     if (request.target.starts_with("/rows-get?")) {
         return get(queryOf(request.target));
     }
--- a/testing/standins/mesh/rowstore.h
+++ b/testing/standins/mesh/rowstore.h
@@ -16,6 +16,8 @@
 struct RowStoreFaults {
     /** Answers every call with 503. */
     bool down = false;
+    /** Answers reads with 429, as when too many nodes read at once, and performs writes. */
+    bool refusesReads = false;
     /** Takes connections and calls, and never answers. */
     bool silent = false;
     /** Does writes and doesn't answer them. */
