Apply a deregistration to the process that sent it

Seen by callers: a process of an upstream deregisters and ends, and starts again under the same id. The deregistration arrives after the first report of the new process and takes it out of use for good, so that its requests are refused or served elsewhere.

Cause: the adapter dropped what a deregistration says of its sender. Upstreams name the start time of their process in all that they say of themselves.

Fix: a deregistration carries the start time, and the departure covers the processes of that id up to it. One without a body still applies to the process that is known.

--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -22,10 +22,11 @@
     return sameProcess ? ReportEffect::Updated : ReportEffect::Started;
 }
 
-void UpstreamLifecycle::deregister(const std::string &id, WallTime receivedAt)
+void UpstreamLifecycle::deregister(const Deregistration &message, WallTime receivedAt)
 {
+    const bool isKnown = m_known && m_lastReport.id == message.id;
     const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(receivedAt.time_since_epoch()).count();
-    m_departures.add(id, m_known && m_lastReport.id == id ? m_lastReport.startedAt : now);
+    m_departures.add(message.id, message.startedAt.value_or(isKnown ? m_lastReport.startedAt : now));
 }
 
 void UpstreamLifecycle::recordLeaving()
--- a/modules/mesh/decisions/upstreamlifecycle.h
+++ b/modules/mesh/decisions/upstreamlifecycle.h
@@ -35,10 +35,10 @@
     /** Applies a report. The departure of a draining process is recorded even if the report has no other effect. */
     ReportEffect apply(const UpstreamReport &report);
     /**
-     * Records the departure of the process that deregisters. If no process of its id is known, it applies to all that started before
-     * @p receivedAt, by the clock of this VM.
+     * Records the departure of the process that deregisters, and of earlier ones under its id. A message without a start time is taken to
+     * be from the known process of that id; if none is known, it applies to all that started before @p receivedAt, by the clock of this VM.
      */
-    void deregister(const std::string &id, WallTime receivedAt);
+    void deregister(const Deregistration &message, WallTime receivedAt);
     /** Records that the running process leaves, by its own responses. */
     void recordLeaving();
     /** Adds departures that an earlier process of this node recorded and that the store, or another node, has kept. */
--- a/modules/mesh/model/upstreamreport.h
+++ b/modules/mesh/model/upstreamreport.h
@@ -4,6 +4,7 @@
 #include "core/names.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Pimentohollow
@@ -25,4 +26,11 @@
     Duration coldTime{};
 };
 
+/** Message of an upstream that leaves, with or without a draining report before. */
+struct Deregistration {
+    std::string id;
+    /** As in the process's reports; nothing if the message doesn't name it. */
+    std::optional<std::int64_t> startedAt;
+};
+
 } // namespace Pimentohollow
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -309,9 +309,9 @@
     }
 }
 
-void MeshNode::deregisterUpstream(const std::string &upstreamId)
+void MeshNode::deregisterUpstream(const Deregistration &message)
 {
-    m_upstreamRunner.depart(upstreamId);
+    m_upstreamRunner.deregister(message);
 }
 
 bool MeshNode::upstreamHasLeft() const
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -72,7 +72,7 @@
     }
 
     /** Records that an upstream has deregistered; true of any upstream id, also before the upstream has announced itself. */
-    void deregisterUpstream(const std::string &upstreamId);
+    void deregisterUpstream(const Deregistration &message);
     /**
      * Waits until all departures of upstreams outlive this process: the store has them or, while it can't be written, most of the other
      * nodes keep them. Returns false if they don't in time; the departure must not be acknowledged then.
--- a/modules/mesh/tests/upstreamlifecycletest.cpp
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -26,6 +26,7 @@
 
 struct Deregister {
     const char *id;
+    std::optional<std::int64_t> startedAt = std::nullopt;
 };
 
 /** A response of the running process says that it leaves. */
@@ -62,7 +63,7 @@
 
     void operator()(const Deregister &message) const
     {
-        lifecycle.deregister(message.id, ReceivedAt);
+        lifecycle.deregister({ message.id, message.startedAt }, ReceivedAt);
     }
 
     void operator()(const Leaving & /*message*/) const
@@ -137,6 +138,16 @@
                    { Report{ "a", SecondStart, 1 }, Report{ "a", SecondStart, 2, true }, Report{ "a", FirstStart, 9 } },
                    false },
         OrderCase{ "StartedAfterTheDeregistration", { Deregister{ "a" }, Report{ "a", SecondStart, 1 } }, true },
+        OrderCase{ "PredecessorOfTheSameIdDeregisteredLate", { Report{ "a", SecondStart, 1 }, Deregister{ "a", FirstStart } }, true },
+        OrderCase{ "PredecessorOfTheSameIdDeregisteredLateThenRestart",
+                   { Report{ "a", SecondStart, 1 }, Deregister{ "a", FirstStart }, Restart{}, Report{ "a", SecondStart, 2 } },
+                   true },
+        OrderCase{ "SuccessorOfTheSameIdDeregisteredFirst",
+                   { Report{ "a", FirstStart, 1 }, Deregister{ "a", SecondStart }, Report{ "a", FirstStart, 2 } },
+                   false },
+        OrderCase{ "DeregisteredFirstWithStart", { Deregister{ "a", FirstStart }, Report{ "a", FirstStart, 1 } }, false },
+        OrderCase{ "SuccessorOfADeregisteredOne", { Deregister{ "a", FirstStart }, Restart{}, Report{ "a", SecondStart, 1 } }, true },
+        OrderCase{ "KnownProcessDeregisteredWithoutStart", { Report{ "a", SecondStart, 1 }, Deregister{ "a" } }, false },
         OrderCase{ "BothDeregistered",
                    { Report{ "a", FirstStart, 1 },
                      Deregister{ "a" },
@@ -174,10 +185,8 @@
                 departed[process] = true;
                 break;
             case 2:
-                if (lifecycle.isKnown() && lifecycle.lastReport().id == id && lifecycle.lastReport().startedAt == startedAt) {
-                    play(Deregister{ id });
-                    departed[process] = true;
-                }
+                play(Deregister{ id, startedAt });
+                departed[process] = true;
                 break;
             default:
                 play(Restart{});
@@ -245,6 +254,30 @@
                              return std::string(it.param.name);
                          });
 
+/** Guards against a process that is out of use although neither it nor a later one under its id has left. */
+TEST(UpstreamLifecyclePropertyTest, LatestProcessIsUsedUntilItsDeparture)
+{
+    EXPECT_TRUE(rc::check([] {
+        constexpr std::int64_t Processes = 4;
+        UpstreamLifecycle lifecycle;
+        lifecycle.recall({});
+        const Player play{ lifecycle };
+        // Late messages of earlier processes under one id, in any order.
+        for (const auto startedAt : *rc::gen::container<std::vector<std::int64_t>>(rc::gen::inRange<std::int64_t>(0, Processes))) {
+            if (*rc::gen::arbitrary<bool>()) {
+                play(Deregister{ "a", startedAt });
+            } else {
+                play(Report{ "a", startedAt, 1, *rc::gen::arbitrary<bool>() });
+            }
+        }
+        play(Report{ "a", Processes, 1 });
+        play(Deregister{ "a", *rc::gen::inRange<std::int64_t>(0, Processes) });
+        RC_ASSERT(lifecycle.isUsable());
+        play(Deregister{ "a", Processes });
+        RC_ASSERT(!lifecycle.isUsable());
+    }));
+}
+
 /** Guards against departures that are lost, or that reach processes which haven't left, when the sets of several nodes are merged. */
 TEST(UpstreamDeparturesTest, MergedSetsCoverWhatEitherCovers)
 {
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -154,10 +154,10 @@
     return effect != ReportEffect::Outdated || announcement.draining;
 }
 
-void UpstreamRunner::depart(const std::string &id)
+void UpstreamRunner::deregister(const Deregistration &message)
 {
     updateLifecycle([&] {
-        m_lifecycle.deregister(id, m_environment.loop.clock().wallNow());
+        m_lifecycle.deregister(message, m_environment.loop.clock().wallNow());
     });
 }
 
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -63,8 +63,8 @@
      * and that doesn't leave.
      */
     bool announce(const UpstreamReport &announcement);
-    /** Records the departure of upstream @p id, whether or not it has announced itself. */
-    void depart(const std::string &id);
+    /** Records the departure of a process of the upstream, whether or not it has announced itself. */
+    void deregister(const Deregistration &message);
     /** Adds departures that an earlier process of this node recorded and that the store has kept. */
     void recallDepartures(const UpstreamDepartures &departures);
     /** Applies what another node keeps of the upstream from the time before this node was restarted. */
