Soak: upstreams leave around the kill of their node, and their reports are late

Two faults are added, in a series of their own so that the other faults of a seed stay as they were: the deregistration is the first that a killed node hears, and a node is killed as soon as it has acknowledged one. A departed upstream serves for 2.5 s and longer, and its reports from before arrive until it ends.

--- a/testing/soak/soakplan.cpp
+++ b/testing/soak/soakplan.cpp
@@ -19,13 +19,18 @@
 /** The last part of a run has no new faults, so that the fleet must serve again at the end. */
 constexpr Duration CalmEnd = 1500ms;
 
-/** Faults of the links between nodes are a series of their own, so that older seeds still play what they played. */
+/**
+ * Faults of the links between nodes, and departures in a restart, are series of their own, so that older seeds still play what they played.
+ */
 constexpr auto FirstPeerFault = static_cast<std::size_t>(FaultKind::PeersReset);
-/** Mixed into the seed of that series, which would otherwise draw the same numbers as the other one. */
+constexpr auto FirstDeparture = static_cast<std::size_t>(FaultKind::UpstreamLeavesAfterKill);
+/** Mixed into the seeds of these series, which would otherwise draw the same numbers as the first one. */
 constexpr std::uint64_t PeerSeries = 0x9e3779b97f4a7c15;
+constexpr std::uint64_t DepartureSeries = 0xbf58476d1ce4e5b9;
 constexpr Duration MeanPeerGap = 1200ms;
+constexpr Duration MeanDepartureGap = 2000ms;
 
-/** @param first and @param last kinds that the series takes, in the order of FaultKindNames */
+/** @param first first kind that the series takes, in the order of FaultKindNames @param last the one after its last */
 void addSeries(std::vector<PlannedFault> &plan,
                Random &random,
                Duration meanGap,
@@ -55,7 +60,9 @@
     Random random(seed);
     addSeries(result, random, MeanGap, 0, FirstPeerFault, length, nodes);
     Random peers(seed ^ PeerSeries);
-    addSeries(result, peers, MeanPeerGap, FirstPeerFault, FaultKindNames.entries().size(), length, nodes);
+    addSeries(result, peers, MeanPeerGap, FirstPeerFault, FirstDeparture, length, nodes);
+    Random departures(seed ^ DepartureSeries);
+    addSeries(result, departures, MeanDepartureGap, FirstDeparture, FaultKindNames.entries().size(), length, nodes);
     std::stable_sort(result.begin(), result.end(), [](const auto &left, const auto &right) {
         return left.at < right.at;
     });
--- a/testing/soak/soakplan.h
+++ b/testing/soak/soakplan.h
@@ -31,6 +31,8 @@
     PeersDelayed,
     PeersCut, ///< those connections stall in both directions
     PeersCutOneWay, ///< what the node says doesn't arrive
+    UpstreamLeavesAfterKill, ///< the first that the node beside it hears after a kill is that it leaves
+    UpstreamLeavesBeforeKill, ///< the node beside it is killed as soon as it has acknowledged that
 };
 
 inline constexpr auto FaultKindNames = makeEnumTable<FaultKind>({
@@ -55,6 +57,8 @@
     { FaultKind::PeersDelayed, "peers_delayed" },
     { FaultKind::PeersCut, "peers_cut" },
     { FaultKind::PeersCutOneWay, "peers_cut_one_way" },
+    { FaultKind::UpstreamLeavesAfterKill, "upstream_leaves_after_kill" },
+    { FaultKind::UpstreamLeavesBeforeKill, "upstream_leaves_before_kill" },
 });
 
 struct PlannedFault {
--- a/testing/soak/soakrun.cpp
+++ b/testing/soak/soakrun.cpp
@@ -24,6 +24,8 @@
 constexpr Duration ClientPause = 8ms;
 /** Longer than the deadline that clients name, so that a late answer is still seen. */
 constexpr Duration ClientTime = 4s;
+/** Least time for which an upstream serves after its departure was acknowledged; longer than the users' drain time. */
+constexpr Duration DepartedServeTime = 2500ms;
 constexpr Duration SlowStore = 600ms;
 constexpr Duration SlowConnection = 80ms;
 constexpr std::size_t Clients = 12;
@@ -185,13 +187,7 @@
                 HttpRequestMessage request;
                 request.method = "POST";
                 request.target = fmt::format("/instances/{}/heartbeat", machine.upstreamId);
-                request.body = fmt::format(
-                    R"({{"service":"orders","address":"{}","zone":"zone-{}","version":"v1","slots":{},"state":"ready","coldLeft":"0ms","sequence":{},"born":{}}})",
-                    machine.proxyPort.endpoint().text(),
-                    number % 2,
-                    Slots,
-                    ++machine.sequence,
-                    machine.generation);
+                request.body = reportBody(number, ++machine.sequence);
                 // A node that is paused or down takes none; the next one comes soon.
                 static_cast<void>(client.exchange(request, m_loop.clock().now() + CallTime));
             }
@@ -200,6 +196,18 @@
     });
 }
 
+std::string SoakRun::reportBody(std::size_t number, std::uint64_t sequence) const
+{
+    const auto &machine = m_machines[number];
+    return fmt::format(
+        R"({{"service":"orders","address":"{}","zone":"zone-{}","version":"v1","slots":{},"state":"ready","coldLeft":"0ms","sequence":{},"born":{}}})",
+        machine.proxyPort.endpoint().text(),
+        number % 2,
+        Slots,
+        sequence,
+        machine.generation);
+}
+
 void SoakRun::watchNode(std::size_t number)
 {
     m_loop.spawn([this, number] {
@@ -272,7 +280,9 @@
         playPeerFault(fault);
         return;
     case FaultKind::UpstreamLeaves:
-        replaceUpstream(fault.target, fault.length);
+    case FaultKind::UpstreamLeavesAfterKill:
+    case FaultKind::UpstreamLeavesBeforeKill:
+        replaceUpstream(fault);
         return;
     case FaultKind::NewRules:
         publishRules();
@@ -403,12 +413,16 @@
     machine.scriptShare = 0;
 }
 
-void SoakRun::replaceUpstream(std::size_t number, Duration length)
+void SoakRun::replaceUpstream(const PlannedFault &fault)
 {
+    const std::size_t number = fault.target;
     auto &machine = m_machines[number];
     if (std::exchange(machine.left, true)) {
         return;
     }
+    if (fault.kind == FaultKind::UpstreamLeavesAfterKill) {
+        playNodeFault({ FaultKind::NodeKilled, {}, {}, number });
+    }
     HttpClient client(m_loop, machine.announcements.endpoint());
     HttpRequestMessage request;
     request.method = "POST";
@@ -419,8 +433,18 @@
         told = answer && answer->status == Success;
         m_loop.sleepFor(CheckPause);
     }
-    m_records.leftAt[machine.upstreamId] = m_loop.clock().now();
-    m_loop.sleepFor(length + Duration(1s));
+    const TimePoint leftAt = m_loop.clock().now();
+    m_records.leftAt[machine.upstreamId] = leftAt;
+    if (fault.kind == FaultKind::UpstreamLeavesBeforeKill) {
+        playNodeFault({ FaultKind::NodeKilled, {}, {}, number });
+    }
+    // Reports that were sent before arrive late, again and again, until the process has ended.
+    request.target = fmt::format("/instances/{}/heartbeat", machine.upstreamId);
+    request.body = reportBody(number, 1);
+    while (m_loop.clock().now() < leftAt + fault.length + DepartedServeTime) {
+        static_cast<void>(client.exchange(request, m_loop.clock().now() + CallTime));
+        m_loop.sleepFor(AnnounceInterval);
+    }
     collectRuns(number);
     machine.upstream->close();
     startUpstream(number);
--- a/testing/soak/soakrun.h
+++ b/testing/soak/soakrun.h
@@ -72,6 +72,8 @@
     void startNode(std::size_t number);
     void startUpstream(std::size_t number);
     void announceForever(std::size_t number);
+    /** Body of a status report of this machine's upstream. */
+    std::string reportBody(std::size_t number, std::uint64_t sequence) const;
     void watchNode(std::size_t number);
     bool isReady(std::size_t number);
     bool waitUntilReady();
@@ -81,7 +83,7 @@
     void playStoreFault(const PlannedFault &fault);
     void playPeerFault(const PlannedFault &fault);
     void playUpstreamFault(const PlannedFault &fault);
-    void replaceUpstream(std::size_t number, Duration length);
+    void replaceUpstream(const PlannedFault &fault);
     void sendRequests(std::size_t client);
     void send(HttpClient &client, std::size_t node, const std::string &method, const std::string &target, const std::string &key);
     void checkRecovery();
