Let no late report of a departed process replace a running one

Upstreams that don't name their start times all have the same one. There, the late report of a process that had left made it the known one again: its successor was out of use until its next report, and its connections were closed.

--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -14,7 +14,10 @@
     if (sameProcess && report.sequence <= m_lastReport.sequence) {
         return ReportEffect::Late;
     }
-    if (m_known && report.startedAt < m_lastReport.startedAt) {
+    // Upstreams that don't name their start times have equal ones; of these, one that has left doesn't replace another.
+    const bool startedLater = report.startedAt > m_lastReport.startedAt
+        || (report.startedAt == m_lastReport.startedAt && !m_departures.covers(report.id, report.startedAt));
+    if (m_known && !sameProcess && !startedLater) {
         return ReportEffect::Outdated;
     }
     m_known = true;
