Apply the departures of any earlier entry at a node's address

Departures name upstreams and start times, so that those of another node's entry at the same address do no harm, and a node that was renamed keeps its own.

--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -226,9 +226,7 @@
 void PeerDirectory::applyEarlierEntry(const std::optional<DirectoryEntry> &entry)
 {
     m_earlierEntryRead = true;
-    // An entry of another node at the same address says nothing of this node's upstream.
-    const bool isOwn = entry && entry->node == m_environment.ownEntry().node;
-    m_environment.departuresRead(isOwn ? entry->departures : UpstreamDepartures());
+    m_environment.departuresRead(entry ? entry->departures : UpstreamDepartures());
 }
 
 void PeerDirectory::restoreEntry()
