Acknowledge a departure that a restored store still has

After a restore of the store, a node no longer counts what it wrote before. If the copy had its entry all the same, nothing was written again, so that an upstream that repeated its deregistration got no acknowledgement from a node without peers, and waited for its peers elsewhere. What the node reads of its own entry in the new era now counts.

DepartureInTheCopyIsAcknowledged fails before and passes now.

--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -236,6 +236,9 @@
     while (!m_left && !m_writing) {
         const auto stored = m_environment.store.readEntry(m_environment.ownEntry().peerAddress);
         if (stored) {
+            if (stored->entry) {
+                m_environment.departuresWritten(stored->entry->departures);
+            }
             if (!m_left && stored->entry != m_environment.ownEntry()) {
                 Log.warning("own_entry_lost",
                             { { "era", std::to_string(stored->position.era) }, { "stored", stored->entry ? "outdated" : "none" } });
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -35,7 +35,7 @@
         std::function<void()> onPeersChanged;
         /** Called with the departures in the store's entry of this node when it is read, or with none if there is no such entry. */
         std::function<void(const UpstreamDepartures &)> departuresRead;
-        /** Called with the departures in the store's entry of this node when it is written, and with none when the entry may be lost. */
+        /** Called with the departures that the store is known to have in this node's entry; with none when the entry may be lost. */
         std::function<void(const UpstreamDepartures &)> departuresWritten;
     };
 
