--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -13,7 +13,7 @@
 constexpr Millis Stable(3000);
 constexpr Millis RestartDelay(500);
 /** How late the status report is that the target sent before it left. */
-constexpr Millis ReportDelay(1500);
+constexpr Millis ReportDelay(2000);
 /** The target goes on serving for so long after it has left. */
 constexpr Millis ServesOn(8000);
 constexpr int Requests = 10;
@@ -89,7 +89,7 @@
     std::this_thread::sleep_until(reportedAt + ReportDelay);
     record("target: the status report from before the departure arrives late, status "
            + std::to_string(target.send("heartbeat", "ready", lateSequence)));
-    std::this_thread::sleep_until(leftAt + RestartDelay + Stable + Millis(1000));
+    std::this_thread::sleep_until(leftAt + RestartDelay + Stable + Millis(1500));
     int broken = 0;
     for (int n = 0; n < Requests && Clock::now() < leftAt + ServesOn; ++n) {
         const std::string id = "after-" + std::to_string(n);
--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 /** A small deployment for the cases of the review: the platform's store, upstreams and nodes on loopback addresses. */
@@ -300,6 +301,8 @@
         const std::string log = m_folder + "/" + name() + ".log";
         m_pid = ::fork();
         if (m_pid == 0) {
+            // Ends the node with the case, also if the case is killed.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
             ::dup2(fd, STDOUT_FILENO);
             ::dup2(fd, STDERR_FILENO);
