--- a/modules/http/tests/upstreamclienttest.cpp
+++ b/modules/http/tests/upstreamclienttest.cpp
@@ -97,6 +97,9 @@
                     InvalidResponseCase{ "NoLength", "HTTP/1.1 200 OK\r\n\r\nab" },
                     InvalidResponseCase{ "TwoLengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab" },
                     InvalidResponseCase{ "BadStatus", "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n" },
+                    InvalidResponseCase{ "Status000", "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n" },
+                    InvalidResponseCase{ "NameWithBlank", "HTTP/1.1 200 OK\r\nX Note: 1\r\nContent-Length: 0\r\n\r\n" },
+                    InvalidResponseCase{ "NameWithControlByte", "HTTP/1.1 200 OK\r\nX-\x01Note: 1\r\nContent-Length: 0\r\n\r\n" },
                     InvalidResponseCase{ "NotHttp", "hello\r\n\r\n" }),
     [](const auto &it) {
         return it.param.name;
--- a/modules/mesh/tests/meshlinktest.cpp
+++ b/modules/mesh/tests/meshlinktest.cpp
@@ -2,6 +2,7 @@
 #include "async/net/asynclistener.h"
 #include "core/systemclock.h"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <vector>
 
@@ -181,4 +182,83 @@
     loop.run();
 }
 
+/** Guards against a reply of which a part is taken as the whole when the link fails within its frame, and against a call without an end. */
+TEST(MeshLinkTest, CutReplyIsNoAnswer)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    BufferBudget bufferBudget(std::size_t{ 1024 } * 1024);
+    RunReplyFrame reply;
+    reply.callId = 1;
+    reply.result.outcome = RunOutcome::Answered;
+    reply.result.response.status = 200;
+    reply.result.response.headers = { { "X-Request-Id", "a" } };
+    reply.result.response.body = "the whole body";
+    std::string bytes;
+    appendFrame(bytes, reply);
+    std::size_t sentBytes = 0;
+    bool resets = false;
+    AsyncListener peer(loop, [&](std::unique_ptr<AsyncSocket> accepted) {
+        loop.spawn([&, socket = std::shared_ptr<AsyncSocket>(std::move(accepted))] {
+            std::array<char, 4096> received{};
+            std::string frames;
+            bool called = false;
+            while (!called) {
+                const auto count = socket->read(received, clock.now() + 5s);
+                if (!count) {
+                    return;
+                }
+                frames.append(received.data(), *count);
+                std::string_view rest(frames);
+                for (auto frame = extractFrame(rest); frame && *frame; frame = extractFrame(rest)) {
+                    called = called || std::holds_alternative<RunFrame>(**frame);
+                }
+            }
+            (void)socket->writeAll(std::string_view(bytes).substr(0, sentBytes), clock.now() + 5s);
+            if (resets) {
+                loop.sleepFor(1ms);
+                socket->reset();
+            } else {
+                socket->close();
+            }
+        });
+    });
+    ASSERT_TRUE(peer.listen({ "127.0.0.1", 0 }));
+    const DirectoryEntry entry{ NodeName("peer"), Vienna, ServiceName("orders"), { "127.0.0.1", peer.port() }, 1, {} };
+    const MeshLink::Handlers handlers{ [](MeshLink &, MeshFrame &&) {},
+                                       [](MeshLink &) {},
+                                       [] {
+                                           return HelloFrame{};
+                                       } };
+    loop.spawn([&] {
+        for (resets = false; true; resets = true) {
+            for (sentBytes = 0; sentBytes <= bytes.size(); ++sentBytes) {
+                const auto link = std::make_shared<MeshLink>(loop, bufferBudget, entry, Vienna, handlers);
+                std::vector<RunReply> replies;
+                link->start();
+                while (link->disconnectedSince()) {
+                    loop.sleepFor(1ms);
+                }
+                (void)link->call(RunFrame{}, [&](RunReply &&it) {
+                    replies.push_back(std::move(it));
+                });
+                const TimePoint deadline = clock.now() + 5s;
+                while (replies.empty() && clock.now() < deadline) {
+                    loop.sleepFor(1ms);
+                }
+                link->stop();
+                ASSERT_EQ(replies.size(), 1U) << sentBytes << " of " << bytes.size() << " bytes";
+                const bool whole = sentBytes == bytes.size();
+                EXPECT_EQ(replies[0].outcome, whole ? RunOutcome::Answered : RunOutcome::Broken) << sentBytes << " bytes";
+                EXPECT_EQ(replies[0].response.body, whole ? reply.result.response.body : "");
+            }
+            if (resets) {
+                break;
+            }
+        }
+        loop.stop();
+    });
+    loop.run();
+}
+
 } // namespace Pimentohollow
--- a/testing/standins/mesh/scriptedupstream.cpp
+++ b/testing/standins/mesh/scriptedupstream.cpp
@@ -24,6 +24,17 @@
         || act == UpstreamAct::Misdirect;
 }
 
+/** Adds the headers of a proper answer, but for its framing, to the last head in @p bytes. */
+std::string withHeadersOf(const std::string &answer, std::string bytes)
+{
+    const auto statusLine = bytes.rfind("HTTP/1.1 ");
+    if (statusLine != std::string::npos) {
+        const auto start = answer.find("\r\n") + 2;
+        bytes.insert(bytes.find("\r\n", statusLine) + 2, answer.substr(start, answer.find("Content-Length") - start));
+    }
+    return bytes;
+}
+
 } // namespace
 
 ScriptedUpstream::ScriptedUpstream(EventLoop &loop, HeaderNames headers, std::string id)
@@ -135,8 +146,10 @@
         m_lateAnswers[&connection] = bytes;
         return connection.socket().writeAll(bytes, deadline).has_value();
     case UpstreamAct::Endless:
-        sendEndlessly(connection, bytes, script);
+        sendEndlessly(connection, withHeadersOf(bytes, script.beginning), script);
         return false;
+    case UpstreamAct::Raw:
+        return connection.socket().writeAll(withHeadersOf(bytes, script.beginning), deadline).has_value();
     case UpstreamAct::AnswerWithoutLength: {
         std::string open = bytes;
         const auto start = open.find("Content-Length");
@@ -163,15 +176,8 @@
     }
 }
 
-void ScriptedUpstream::sendEndlessly(HttpConnection &connection, const std::string &answer, const UpstreamScript &script)
+void ScriptedUpstream::sendEndlessly(HttpConnection &connection, const std::string &beginning, const UpstreamScript &script)
 {
-    constexpr std::string_view StatusLine = "HTTP/1.1 200 OK\r\n";
-    std::string beginning = script.beginning;
-    if (beginning.starts_with(StatusLine)) {
-        // The headers of a proper answer but for its framing.
-        const auto start = answer.find("\r\n") + 2;
-        beginning.insert(StatusLine.size(), answer.substr(start, answer.find("Content-Length") - start));
-    }
     constexpr std::size_t BlockBytes = std::size_t{ 16 } * 1024;
     std::string block;
     while (block.size() < BlockBytes) {
--- a/testing/standins/mesh/scriptedupstream.h
+++ b/testing/standins/mesh/scriptedupstream.h
@@ -23,6 +23,7 @@
     Silence, ///< runs and never answers
     Garbage, ///< bytes that are no answer
     Endless, ///< a beginning, then the same bytes until the caller closes
+    Raw, ///< the bytes of the script instead of an answer; the connection stays open
     AnswerAgainLate, ///< a second, unasked answer follows when the connection is in use again
     BreakOffInHead, ///< the status line and whole header lines, then an end of the connection before the end of the head
     Refuse, ///< not run, and says so
@@ -37,8 +38,9 @@
     Duration runTime = std::chrono::milliseconds(1);
     /** Added to answers and refusals. */
     std::vector<HttpHeader> headers = {};
-    /** What Endless sends once, after the id and the stamp if it begins a head, and what it repeats. */
+    /** What Raw sends and Endless sends once. The id and the stamp are added to the last head in it. */
     std::string beginning = {};
+    /** What Endless repeats. */
     std::string repeated = {};
 };
 
@@ -93,7 +95,7 @@
     /** Sends a refusal; returns false if the connection has failed. */
     bool refuse(HttpConnection &connection, const HttpRequestMessage &request, const UpstreamScript &script);
     bool act(HttpConnection &connection, const HttpRequestMessage &request, const UpstreamScript &script, UpstreamRun &run);
-    void sendEndlessly(HttpConnection &connection, const std::string &answer, const UpstreamScript &script);
+    void sendEndlessly(HttpConnection &connection, const std::string &beginning, const UpstreamScript &script);
     std::string answerBytes(const HttpRequestMessage &request, const UpstreamScript &script) const;
 
     EventLoop &m_loop;
