Take an answer without a length for whole only if its connection didn't fail

Cause: the kernel reports a failure once, to the call that meets it. While a request is written, that is send(); AsyncSocket didn't keep it, and recv() returned the received bytes and then 0, which was read as an orderly end. Without a failed send() the same happens when the upstream ends its direction in order and resets the connection while a part of the request is still in the node's kernel.

Fix: AsyncSocket keeps the first failure, whichever call meets it, and a read after it reports Failed and never the end of the stream. ReadError tells both apart for all readers. An answer without a length needs an orderly end and a request that the upstream has acknowledged whole; the wait for that ends at the request's deadline. A connection on which a request couldn't be sent isn't kept. answer_unreadable names the failure.

--- a/modules/async/net/asyncsocket.cpp
+++ b/modules/async/net/asyncsocket.cpp
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -13,6 +15,14 @@
 namespace Pimentohollow
 {
 
+namespace
+{
+
+/** The kernel raises no event when the last byte is acknowledged. */
+constexpr std::chrono::milliseconds DeliveryPollInterval(2);
+
+} // namespace
+
 AsyncSocket::AsyncSocket(EventLoop &loop, int fd)
     : m_loop(loop)
     , m_fd(fd)
@@ -66,12 +76,33 @@
             return failure(ErrorKind::Timeout, "socket.connect", "no answer", address.text());
         }
     }
+    recordPendingFailure();
+    if (m_fd < 0 || hasFailed()) {
+        return failure(ErrorKind::Unavailable, "socket.connect", hasFailed() ? failureText() : "closed", address.text());
+    }
+    return {};
+}
+
+void AsyncSocket::recordFailure(int ec)
+{
+    if (m_failure == 0) {
+        m_failure = ec;
+    }
+}
+
+void AsyncSocket::recordPendingFailure()
+{
     int ec = 0;
     socklen_t size = sizeof ec;
-    if (m_fd < 0 || ::getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &ec, &size) != 0 || ec != 0) {
-        return failure(ErrorKind::Unavailable, "socket.connect", std::strerror(ec), address.text());
+    if (m_fd >= 0 && ::getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &ec, &size) != 0) {
+        ec = errno;
     }
-    return {};
+    recordFailure(ec);
+}
+
+std::string AsyncSocket::failureText() const
+{
+    return hasFailed() ? std::strerror(m_failure) : "";
 }
 
 ReadResult<std::size_t> AsyncSocket::read(std::span<char> buffer, TimePoint deadline)
@@ -85,23 +116,49 @@
                 return static_cast<std::size_t>(count);
             }
             if (count == 0 || (errno != EAGAIN && errno != EINTR)) {
+                if (count == 0) {
+                    // After a reset whose error another call has met, the kernel reports the end of the stream here.
+                    recordPendingFailure();
+                } else {
+                    recordFailure(errno);
+                }
                 m_closedByPeer = true;
-                m_endedOrderly = count == 0;
-                return tl::unexpected(ReadError::Truncated);
+                m_endRead = true;
+                return tl::unexpected(hasFailed() ? ReadError::Failed : ReadError::Closed);
             }
             m_readable = errno == EINTR;
             if (m_readable) {
                 continue;
             }
             if (m_closedByPeer) {
-                return tl::unexpected(ReadError::Truncated);
+                return tl::unexpected(ReadError::Failed);
             }
         }
         if (m_readers.wait(deadline) == WakeReason::TimedOut) {
             return tl::unexpected(ReadError::Timeout);
         }
     }
-    return tl::unexpected(ReadError::Truncated);
+    return tl::unexpected(ReadError::Failed);
+}
+
+ReadResult<void> AsyncSocket::waitUntilDelivered(TimePoint deadline)
+{
+    while (m_fd >= 0) {
+        int unacknowledgedBytes = 0;
+        const bool known = ::ioctl(m_fd, SIOCOUTQ, &unacknowledgedBytes) == 0;
+        recordPendingFailure();
+        if (hasFailed()) {
+            return tl::unexpected(ReadError::Failed);
+        }
+        if (!known || unacknowledgedBytes == 0) {
+            return {};
+        }
+        if (m_loop.clock().now() >= deadline) {
+            return tl::unexpected(ReadError::Timeout);
+        }
+        m_loop.sleepFor(DeliveryPollInterval);
+    }
+    return tl::unexpected(ReadError::Failed);
 }
 
 bool AsyncSocket::hasPendingBytes()
@@ -120,6 +177,9 @@
     char byte = 0;
     const auto count = ::recv(m_fd, &byte, 1, MSG_PEEK);
     m_readable = count >= 0 || errno != EAGAIN;
+    if (count < 0 && errno != EAGAIN && errno != EINTR) {
+        recordFailure(errno);
+    }
     return m_readable;
 }
 
@@ -139,6 +199,7 @@
             continue;
         }
         if (errno != EAGAIN) {
+            recordFailure(errno);
             return std::nullopt;
         }
         m_writable = false;
--- a/modules/async/net/asyncsocket.h
+++ b/modules/async/net/asyncsocket.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace Pimentohollow
@@ -31,7 +32,10 @@
     /** Errors: Unavailable (refused, unreachable), Timeout. Nothing was sent in either case. */
     static Result<std::unique_ptr<AsyncSocket>> connect(EventLoop &loop, const IpEndpoint &address, TimePoint deadline);
 
-    /** Reads at least one byte. Errors: Truncated (closed or reset by either side), Timeout. */
+    /**
+     * Reads at least one byte. Errors: Closed (the other side ended its direction in order, and nothing has failed in either one), Failed,
+     * Timeout. Bytes received before a failure can still be read after it.
+     */
     ReadResult<std::size_t> read(std::span<char> buffer, TimePoint deadline);
     /** Writes everything. Errors: OutcomeUnknown (a part may have been sent), Timeout. */
     Result<void> writeAll(std::string_view bytes, TimePoint deadline);
@@ -57,12 +61,27 @@
         return m_closedByPeer;
     }
 
-    /** True if the other side ended its direction with an orderly close, after all its bytes were read. */
+    /** True if all bytes were read up to the orderly end of the other side's direction, and neither direction has failed. */
     bool endedOrderly() const
     {
-        return m_endedOrderly;
+        return m_endRead && !hasFailed();
     }
 
+    /** True if a call of either direction found that the connection has failed. Bytes received before may still be unread. */
+    bool hasFailed() const
+    {
+        return m_failure != 0;
+    }
+
+    /** Describes the first failure of the connection; empty if there was none. */
+    std::string failureText() const;
+
+    /**
+     * Waits until the other side has acknowledged all bytes written. Returns Failed if the connection fails before: a reset that answers
+     * them may arrive after the orderly end of the other side's direction. Errors: Failed, Timeout.
+     */
+    ReadResult<void> waitUntilDelivered(TimePoint deadline);
+
     /** True if bytes or the end of the stream are waiting; asks the kernel only if an event came since the last read. */
     bool hasPendingBytes();
     /** The same, but always asks the kernel: no event may have been handled yet for bytes that just came. */
@@ -88,13 +107,19 @@
 private:
     void handleEvents(std::uint32_t events) override;
     Result<void> finishConnect(const IpEndpoint &address, TimePoint deadline);
+    /** Keeps the first failure. The kernel reports a failure only once, to whichever call meets it. */
+    void recordFailure(int ec);
+    /** Records the failure that the kernel holds for the next call, if any. */
+    void recordPendingFailure();
 
     EventLoop &m_loop;
     int m_fd;
     bool m_readable = true;
     bool m_writable = true;
     bool m_closedByPeer = false;
-    bool m_endedOrderly = false;
+    bool m_endRead = false;
+    /** The errno of the first failure; 0 if there was none. */
+    int m_failure = 0;
     bool m_readInterrupted = false;
     WaitPoint m_readers;
     WaitPoint m_writers;
--- a/modules/async/net/httpconnection.cpp
+++ b/modules/async/net/httpconnection.cpp
@@ -98,7 +98,7 @@
 
 bool HttpConnection::isIdle()
 {
-    if (!m_socket->isOpen() || m_socket->closedByPeer() || m_stream.hasBufferedData()) {
+    if (!m_socket->isOpen() || m_socket->closedByPeer() || m_socket->hasFailed() || m_stream.hasBufferedData()) {
         return false;
     }
     return !m_socket->hasPendingBytes();
@@ -110,10 +110,13 @@
     while (true) {
         const auto more = m_stream.waitForData(deadline);
         if (!more) {
-            if (more.error() == ReadError::Closed && m_socket->endedOrderly()) {
-                return body;
+            if (more.error() != ReadError::Closed) {
+                return tl::unexpected(more.error());
             }
-            return tl::unexpected(more.error() == ReadError::Closed ? ReadError::Truncated : more.error());
+            if (const auto delivered = m_socket->waitUntilDelivered(deadline); !delivered) {
+                return tl::unexpected(delivered.error());
+            }
+            return body;
         }
         if (body.size() >= maximumBodyBytes) {
             return tl::unexpected(ReadError::TooLarge);
--- a/modules/http/reading/bytestream.cpp
+++ b/modules/http/reading/bytestream.cpp
@@ -96,13 +96,13 @@
         try {
             const int count = m_socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
             if (count <= 0) {
-                return tl::unexpected(ReadError::Truncated);
+                return tl::unexpected(count == 0 ? ReadError::Closed : ReadError::Failed);
             }
             return static_cast<std::size_t>(count);
         } catch (const Poco::TimeoutException &) {
             return tl::unexpected(ReadError::Timeout);
         } catch (const Poco::Exception &) {
-            return tl::unexpected(ReadError::Truncated);
+            return tl::unexpected(ReadError::Failed);
         }
     }
 
@@ -144,11 +144,7 @@
     if (hasBufferedData()) {
         return {};
     }
-    const auto filled = fill(deadline);
-    if (!filled && filled.error() == ReadError::Truncated) {
-        return tl::unexpected(ReadError::Closed);
-    }
-    return filled;
+    return fill(deadline);
 }
 
 ReadResult<std::string> ByteStream::readHead(std::size_t maximumBytes, TimePoint deadline)
@@ -168,7 +164,7 @@
                 return takeBuffered(scanned + 1);
             }
         }
-        if (const auto filled = fill(deadline); !filled) {
+        if (const auto filled = fillWithinMessage(deadline); !filled) {
             return tl::unexpected(filled.error());
         }
     }
@@ -199,7 +195,7 @@
 {
     while (count > 0) {
         if (!hasBufferedData()) {
-            if (const auto filled = fill(deadline); !filled) {
+            if (const auto filled = fillWithinMessage(deadline); !filled) {
                 return filled;
             }
         }
@@ -243,6 +239,15 @@
     return {};
 }
 
+ReadResult<void> ByteStream::fillWithinMessage(TimePoint deadline)
+{
+    const auto filled = fill(deadline);
+    if (!filled && filled.error() == ReadError::Closed) {
+        return tl::unexpected(ReadError::Truncated);
+    }
+    return filled;
+}
+
 std::string ByteStream::takeBuffered(std::size_t count)
 {
     std::string result = m_buffer.substr(m_position, count);
--- a/modules/http/reading/bytestream.h
+++ b/modules/http/reading/bytestream.h
@@ -17,8 +17,9 @@
 
 /** Why bytes could not be read. */
 enum class ReadError {
-    Closed, ///< the peer closed the connection before the first byte
-    Truncated, ///< the peer closed the connection, or it failed, within a message
+    Closed, ///< the peer ended the connection in order, before the first byte of a message
+    Truncated, ///< the peer ended the connection in order within a message
+    Failed, ///< the connection failed, or this side closed it
     Timeout,
     TooLarge,
     Malformed,
@@ -28,6 +29,7 @@
 inline constexpr auto ReadErrorNames = makeEnumTable<ReadError>({
     { ReadError::Closed, "connection closed" },
     { ReadError::Truncated, "message truncated" },
+    { ReadError::Failed, "connection failed" },
     { ReadError::Timeout, "time limit exceeded" },
     { ReadError::TooLarge, "message too large" },
     { ReadError::Malformed, "message malformed" },
@@ -49,7 +51,10 @@
 public:
     virtual ~ByteSource() = default;
 
-    /** Reads at least one byte. Errors: Truncated (closed or failed), Timeout. */
+    /**
+     * Reads at least one byte. Errors: Closed (the peer ended its direction in order and nothing has failed in either one), Failed,
+     * Timeout.
+     */
     virtual ReadResult<std::size_t> read(std::span<char> buffer, TimePoint deadline) = 0;
     /** The current time of the clock that deadlines refer to. */
     virtual TimePoint now() const = 0;
@@ -76,7 +81,7 @@
     /** Releases the bytes of the previous message from the budget; bytes that no read has consumed yet stay reserved. */
     void startMessage();
 
-    /** Waits for the first byte of a message. */
+    /** Waits for the first byte of a message, or for the next one of a body that ends with the connection. */
     ReadResult<void> waitForData(TimePoint deadline);
 
     /**
@@ -98,6 +103,8 @@
 
 private:
     ReadResult<void> fill(TimePoint deadline);
+    /** As fill(), for bytes without which the message is incomplete. */
+    ReadResult<void> fillWithinMessage(TimePoint deadline);
     std::string takeBuffered(std::size_t count);
 
     std::unique_ptr<ByteSource> m_source;
--- a/modules/http/reading/requestreader.cpp
+++ b/modules/http/reading/requestreader.cpp
@@ -21,6 +21,7 @@
     switch (error) {
     case ReadError::Closed:
     case ReadError::Truncated:
+    case ReadError::Failed:
         return { 0, std::move(detail) };
     case ReadError::Timeout:
         return { RequestTimeout, std::move(detail) };
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -382,12 +382,13 @@
                 Log.info("answer_unreadable",
                          { { "request", requestIdOf(job) },
                            { "fault", std::string(ReadErrorNames.name(response.error())) },
+                           { "connection_error", connection.http->socket().failureText() },
                            { "held_bytes", std::to_string(m_environment.bufferBudget.reservedBytes()) } });
             }
             return replyWithoutResponse(response.error() == ReadError::Timeout ? RunOutcome::TimedOut : RunOutcome::Broken);
         }
         bool stale = false;
-        const bool keepsOpen = response->reusable && n == 0;
+        const bool keepsOpen = sent && response->reusable && n == 0;
         const auto limit = response->idleLimit;
         auto result = classifyResponse(std::move(*response), job, connection.used, stale);
         if (!stale) {
