Refuse responses with a status above 599 and switched protocols

Callers saw an upstream's 600 or 999 as an answer, with the upstream's signature and body. After a 101, which no request asks for, the bytes that follow were read as the final answer although they belong to another protocol.

Cause: the parser of response heads checked the lower bound of the status only, and the reader skipped 101 like other interim responses. RFC 9110 calls statuses outside of 100 to 599 invalid.

Fix: both are malformed, like a status below 100. The request is retried at another upstream if it may be, or gets 502.

--- a/modules/http/reading/messagehead.cpp
+++ b/modules/http/reading/messagehead.cpp
@@ -189,6 +189,8 @@
 {
     constexpr std::size_t VersionChars = 8;
     constexpr std::size_t StatusChars = 3;
+    constexpr std::size_t FirstStatus = 100;
+    constexpr std::size_t LastStatus = 599;
     ResponseHead head;
     text.remove_suffix(std::min(text.size(), LineEnd.size()));
     const std::string_view line = takeLine(text);
@@ -200,7 +202,7 @@
     const std::string_view rest = line.substr(VersionChars);
     const auto status = rest.size() > StatusChars ? parseLength(rest.substr(1, StatusChars)) : parseLength("");
     const bool separated = rest.size() == StatusChars + 1 || (rest.size() > StatusChars + 1 && rest[StatusChars + 1] == ' ');
-    if (!status || *status < 100 || rest[0] != ' ' || !separated) {
+    if (!status || *status < FirstStatus || *status > LastStatus || rest[0] != ' ' || !separated) {
         return tl::unexpected<HeadError>("malformed status line");
     }
     head.status = static_cast<std::uint16_t>(*status);
--- a/modules/http/reading/responsehead.cpp
+++ b/modules/http/reading/responsehead.cpp
@@ -6,6 +6,7 @@
 ReadResult<ResponseHead> readFinalResponseHead(ByteStream &stream, std::size_t maximumBytes, TimePoint deadline)
 {
     constexpr int MaximumInterimResponses = 8;
+    constexpr std::uint16_t SwitchingProtocols = 101;
     constexpr std::uint16_t FirstFinalStatus = 200;
     for (int n = 0; n <= MaximumInterimResponses; ++n) {
         const auto text = stream.readHead(maximumBytes, deadline);
@@ -13,7 +14,8 @@
             return tl::unexpected(text.error());
         }
         auto head = parseResponseHead(*text);
-        if (!head) {
+        // No request asks for another protocol; what follows such a head isn't HTTP.
+        if (!head || head->status == SwitchingProtocols) {
             return tl::unexpected(ReadError::Malformed);
         }
         if (head->status >= FirstFinalStatus) {
