Refuse control bytes in reason phrases and chunk extensions

Callers saw the reason phrase of an upstream with its control bytes. A chunk size line whose extension holds a control byte was taken for a proper one, so that bytes that are no answer could end as a whole body.

Cause: the parser checked the values of headers for control bytes, but neither the reason phrase (also of interim responses) nor chunk extensions.

Fix: both are checked as header values are; the message is malformed.

--- a/modules/http/reading/bodyreader.cpp
+++ b/modules/http/reading/bodyreader.cpp
@@ -17,7 +17,7 @@
 ReadResult<std::size_t> parseChunkSize(std::string_view line)
 {
     const auto end = std::min(line.find_first_not_of("0123456789abcdefABCDEF"), line.size());
-    const bool hasValidEnd = end == line.size() || line[end] == ';';
+    const bool hasValidEnd = end == line.size() || (line[end] == ';' && isFieldText(line.substr(end)));
     if (end == 0 || end > MaximumChunkDigits || !hasValidEnd) {
         return tl::unexpected(ReadError::Malformed);
     }
--- a/modules/http/reading/messagehead.cpp
+++ b/modules/http/reading/messagehead.cpp
@@ -65,7 +65,7 @@
         return tl::unexpected<HeadError>("malformed header name");
     }
     const std::string_view value = trimmed(line.substr(colon + 1));
-    if (!std::all_of(value.begin(), value.end(), isFieldChar)) {
+    if (!isFieldText(value)) {
         return tl::unexpected<HeadError>("control character in a header value");
     }
     return HttpHeader{ std::string(line.substr(0, colon)), std::string(value) };
@@ -207,6 +207,9 @@
     }
     head.status = static_cast<std::uint16_t>(*status);
     head.reason = trimmed(rest.substr(StatusChars + 1));
+    if (!isFieldText(head.reason)) {
+        return tl::unexpected<HeadError>("control character in a reason phrase");
+    }
     auto headers = parseHeaderLines(text);
     if (!headers) {
         return tl::unexpected(headers.error());
@@ -242,6 +245,11 @@
     return BodyFraming{ BodyFraming::Kind::Length, *length };
 }
 
+bool isFieldText(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), isFieldChar);
+}
+
 bool headerHasToken(const HttpHeaders &headers, std::string_view name, std::string_view token)
 {
     for (const auto &it : headers) {
--- a/modules/http/reading/messagehead.h
+++ b/modules/http/reading/messagehead.h
@@ -56,6 +56,9 @@
 /** Parses header lines, each with its CRLF, without the empty line that ends a head. */
 HeadResult<HttpHeaders> parseHeaderLines(std::string_view text);
 
+/** True if no byte of @p text is a control byte other than a tab, as in header values, reason phrases and chunk extensions. */
+bool isFieldText(std::string_view text);
+
 /** Determines the framing; repeated, contradictory or unsupported framing headers are an error. */
 HeadResult<BodyFraming> bodyFraming(const HttpHeaders &headers, int minorVersion);
 
