Read all HTTP responses with one function

HttpConnection, the client of the thread-based node and the load generator of a benchmark each had their own steps from the head of a response to its body, so that a rule stated for one didn't hold for the others.

readResponse() in modules/http/reading has them now, with the former content of responsehead.cpp. HttpConnection adds what only it knows: that a response which ended with the connection needs a request that was acknowledged whole.

--- a/bench/datapath/loadconnection.cpp
+++ b/bench/datapath/loadconnection.cpp
@@ -32,16 +32,8 @@
     if (!sendAll(m_socket, m_request)) {
         return false;
     }
-    const auto text = m_stream.readHead(MaximumBytes, deadline);
-    if (!text) {
-        return false;
-    }
-    const auto head = parseResponseHead(*text);
-    if (!head) {
-        return false;
-    }
-    const auto framing = bodyFraming(head->headers, head->minorVersion);
-    return framing && readBody(m_stream, *framing, MaximumBytes, deadline) && head->status == 200;
+    const auto response = readResponse(m_stream, false, { MaximumBytes, MaximumBytes, false }, deadline);
+    return response && response->message.status == 200;
 }
 
 } // namespace Pimentohollow::Bench
--- a/modules/async/net/httpconnection.h
+++ b/modules/async/net/httpconnection.h
@@ -1,22 +1,11 @@
 #pragma once
 
 #include "async/net/asyncsocket.h"
-#include "http/reading/bytestream.h"
-#include "messages/call/httpmessages.h"
+#include "http/reading/responsereader.h"
 
 namespace Pimentohollow
 {
 
-/** A whole answer and what follows from it for its connection. */
-struct ReceivedResponse {
-    /** Without the headers that concern only the connection. */
-    HttpResponseMessage message;
-    /** The connection may carry another request. */
-    bool reusable = false;
-    /** How long the other side keeps the connection idle, if it says so. */
-    std::optional<Duration> idleLimit;
-};
-
 /** One connection of HTTP/1.1, for either side. */
 class HttpConnection
 {
@@ -24,8 +13,9 @@
     explicit HttpConnection(std::unique_ptr<AsyncSocket> socket);
 
     /**
-     * Reads one answer, complete by its framing. Interim answers (1xx) are dropped.
-     * @param untilClose accept an answer without length that ends with an orderly end of the connection
+     * Reads one whole answer.
+     * @param untilClose accept an answer without length that ends with an orderly end of the connection, once the other side has
+     * acknowledged the whole request
      */
     ReadResult<ReceivedResponse> readResponse(bool headRequest, std::size_t maximumBodyBytes, bool untilClose, TimePoint deadline);
 
@@ -46,8 +36,6 @@
     }
 
 private:
-    ReadResult<std::string> readUntilClose(std::size_t maximumBodyBytes, TimePoint deadline);
-
     std::unique_ptr<AsyncSocket> m_socket;
     ByteStream m_stream;
 };
--- a/modules/http/http.h
+++ b/modules/http/http.h
@@ -8,6 +8,7 @@
 #include "http/reading/bytestream.h"
 #include "http/reading/messagehead.h"
 #include "http/reading/requestreader.h"
+#include "http/reading/responsereader.h"
 #include "http/rules/hopbyhop.h"
 #include "http/rules/keyremoval.h"
 #include "http/rules/problemresponse.h"
--- a/modules/http/tests/requestreadertest.cpp
+++ b/modules/http/tests/requestreadertest.cpp
@@ -96,6 +96,7 @@
     { "HugeChunk", "POST / HTTP/1.1\r\n" + Host + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff1\r\na", 400 },
     { "NegativeChunk", "POST / HTTP/1.1\r\n" + Host + "Transfer-Encoding: chunked\r\n\r\n-1\r\na", 400 },
     { "ChunkWithSpace", "POST / HTTP/1.1\r\n" + Host + "Transfer-Encoding: chunked\r\n\r\n 1\r\na\r\n0\r\n\r\n", 400 },
+    { "ChunkExtensionControlByte", "POST / HTTP/1.1\r\n" + Host + "Transfer-Encoding: chunked\r\n\r\n1;a=\x01\r\na\r\n0\r\n\r\n", 400 },
     { "ChunkBareLf", "POST / HTTP/1.1\r\n" + Host + "Transfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n", 400 },
     { "ChunkTooLong", "POST / HTTP/1.1\r\n" + Host + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", 400 },
     { "UnknownExpectation", "POST / HTTP/1.1\r\n" + Host + "Expect: magic\r\nContent-Length: 1\r\n\r\na", 417 },
