Read the store's answers to the thread-based node with the strict parser

Operators would have seen: an answer of the table service or the object store with two different lengths, or with a blank or a control byte in the name of a header, was taken for a proper answer to a read or a write.

Cause: PlatformClient read responses with POCO, whose parser accepts such heads.

Fix: it reads them with readResponse(). A chunked answer that is whole is now accepted; before, one without Content-Length was an error.

BadAnswerTest: "two lengths", "name with blank" and "name with control byte" fail before and pass now; "cut chunk" and "status 000" passed before.

--- a/modules/storage/http/platformclient.cpp
+++ b/modules/storage/http/platformclient.cpp
@@ -1,8 +1,9 @@
 #include "storage/http/platformclient.h"
 
+#include "http/reading/responsereader.h"
+
 #include <fmt/format.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPSClientSession.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Timespan.h>
@@ -17,7 +18,6 @@
 /** The largest answer is a snapshot of the fleet configuration, about 200 KB at the large size; a table page has 1 MB. */
 constexpr std::size_t MaximumAnswerBytes = std::size_t{ 16 } * 1024 * 1024;
 constexpr std::size_t MaximumIdleConnections = 8;
-constexpr std::size_t ReadBytes = 16384;
 constexpr int VerificationDepth = 9;
 
 using std::chrono::steady_clock;
@@ -130,8 +130,9 @@
     if (!problem.empty()) {
         return fail(call, ErrorKind::Unavailable, problem);
     }
-    auto answer = receive(*session, call, deadline);
-    if (answer && session->getKeepAlive()) {
+    bool reusable = false;
+    auto answer = receive(*session, call, deadline, reusable);
+    if (answer && reusable) {
         keepIdle(std::move(session));
     }
     return answer;
@@ -162,34 +163,24 @@
     }
 }
 
-Result<PlatformAnswer> PlatformClient::receive(Poco::Net::HTTPClientSession &session, const PlatformCall &call, Deadline deadline) const
+Result<PlatformAnswer>
+PlatformClient::receive(Poco::Net::HTTPClientSession &session, const PlatformCall &call, Deadline deadline, bool &reusable) const
 {
     const ErrorKind lost = call.effect == CallEffect::Write ? ErrorKind::OutcomeUnknown : ErrorKind::Unavailable;
     try {
-        Poco::Net::HTTPResponse response;
+        // Bounds the rest of a TLS record, of which poll() reports only the first bytes.
         session.socket().setReceiveTimeout(remaining(deadline));
-        std::istream &stream = session.receiveResponse(response);
-        PlatformAnswer answer{ response.getStatus(), "" };
-        std::string buf(ReadBytes, '\0');
-        while (stream.good()) {
-            if (steady_clock::now() >= deadline) {
-                return fail(call, ErrorKind::Timeout, "the answer was not complete in time");
-            }
-            session.socket().setReceiveTimeout(remaining(deadline));
-            stream.read(buf.data(), static_cast<std::streamsize>(buf.size()));
-            answer.body.append(buf, 0, static_cast<std::size_t>(stream.gcount()));
-            if (answer.body.size() > MaximumAnswerBytes) {
-                return fail(call, lost, fmt::format("the answer is larger than {} bytes", MaximumAnswerBytes));
-            }
-        }
-        const bool empty = response.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT;
-        const bool complete = response.hasContentLength() && response.getContentLength64() == static_cast<Poco::Int64>(answer.body.size());
-        if (!empty && !complete) {
-            return fail(call, lost, "the answer is incomplete or has no length");
+        // POCO's reader isn't used: it accepts malformed heads.
+        ByteStream stream(session.socket());
+        ResponseLimits limits;
+        limits.maximumBodyBytes = MaximumAnswerBytes;
+        auto response = readResponse(stream, call.method == "HEAD", limits, deadline);
+        if (!response) {
+            const ErrorKind kind = response.error() == ReadError::Timeout ? ErrorKind::Timeout : lost;
+            return fail(call, kind, "no valid answer: " + std::string(ReadErrorNames.name(response.error())));
         }
-        return answer;
-    } catch (const Poco::TimeoutException &) {
-        return fail(call, ErrorKind::Timeout, "no answer in time");
+        reusable = response->reusable;
+        return PlatformAnswer{ response->message.status, std::move(response->message.body) };
     } catch (const Poco::Exception &exception) {
         return fail(call, lost, "no valid answer: " + exception.displayText());
     }
--- a/modules/storage/http/platformclient.h
+++ b/modules/storage/http/platformclient.h
@@ -80,7 +80,9 @@
     Session makeSession() const;
     void keepIdle(Session session);
     Result<PlatformAnswer> attempt(Session session, const PlatformCall &call, Deadline deadline);
-    Result<PlatformAnswer> receive(Poco::Net::HTTPClientSession &session, const PlatformCall &call, Deadline deadline) const;
+    /** @param reusable set to true if the connection may carry another call */
+    Result<PlatformAnswer>
+    receive(Poco::Net::HTTPClientSession &session, const PlatformCall &call, Deadline deadline, bool &reusable) const;
     std::string sendRequest(Poco::Net::HTTPClientSession &session, const PlatformCall &call) const;
     tl::unexpected<Error> fail(const PlatformCall &call, ErrorKind kind, const std::string &message) const;
 
--- a/modules/storage/tests/platformclienttest.cpp
+++ b/modules/storage/tests/platformclienttest.cpp
@@ -1,94 +1,20 @@
 #include "core/systemclock.h"
+#include "standins/platform/rawserver.h"
 #include "standins/platform/standinhandlers.h"
 #include "storage/storage.h"
 #include "testcertificate.h"
 
-#include <atomic>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/SecureServerSocket.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
-#include <thread>
 
 using namespace Pimentohollow;
 
 namespace
 {
 
-/** Answers each request with the same bytes and closes the connection. */
-class RawServer
-{
-public:
-    explicit RawServer(std::string answer)
-        : m_answer(std::move(answer))
-        , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
-        , m_thread([this] {
-            serve();
-        })
-    {
-    }
-
-    ~RawServer()
-    {
-        m_stop = true;
-        m_thread.join();
-    }
-
-    RawServer(const RawServer &) = delete;
-    RawServer &operator=(const RawServer &) = delete;
-
-    std::string url() const
-    {
-        return fmt::format("http://127.0.0.1:{}", m_socket.address().port());
-    }
-
-private:
-    void serve()
-    {
-        while (!m_stop) {
-            if (m_socket.poll(Poco::Timespan(0, 10000), Poco::Net::Socket::SELECT_READ)) {
-                Poco::Net::StreamSocket connection = m_socket.acceptConnection();
-                answer(connection);
-            }
-        }
-    }
-
-    /** Requests arrive in at most two parts, headers and body; reading both keeps the connection from being reset. */
-    static bool isWhole(const std::string &request)
-    {
-        const bool hasHeaders = request.find("\r\n\r\n") != std::string::npos;
-        return hasHeaders && (request.starts_with("GET ") || !request.ends_with("\r\n\r\n"));
-    }
-
-    void answer(Poco::Net::StreamSocket &connection) const
-    {
-        try {
-            char buf[16384];
-            std::string request;
-            while (!isWhole(request)) {
-                const int length = connection.receiveBytes(buf, sizeof(buf));
-                if (length <= 0) {
-                    return;
-                }
-                request.append(buf, static_cast<std::size_t>(length));
-            }
-            connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
-            connection.shutdownSend();
-        } catch (const Poco::Exception &) {
-            // The client closed first, which some cases provoke.
-            return;
-        }
-    }
-
-    std::string m_answer;
-    Poco::Net::ServerSocket m_socket;
-    std::atomic<bool> m_stop{ false };
-    std::thread m_thread;
-};
-
 PlatformEndpoint endpointAt(const std::string &url)
 {
     PlatformEndpoint endpoint;
@@ -151,6 +77,23 @@
         AnswerCase{ "garbage", "\x01\x02\r\n\r\n", ErrorKind::OutcomeUnknown, ErrorKind::Unavailable },
         AnswerCase{ "cut", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}", ErrorKind::OutcomeUnknown, ErrorKind::Unavailable },
         AnswerCase{ "no length", "HTTP/1.1 200 OK\r\n\r\n{}", ErrorKind::OutcomeUnknown, ErrorKind::Unavailable },
+        AnswerCase{ "cut chunk",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+                    ErrorKind::OutcomeUnknown,
+                    ErrorKind::Unavailable },
+        AnswerCase{ "two lengths",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 20\r\n\r\n{}",
+                    ErrorKind::OutcomeUnknown,
+                    ErrorKind::Unavailable },
+        AnswerCase{ "status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", ErrorKind::OutcomeUnknown, ErrorKind::Unavailable },
+        AnswerCase{ "name with blank",
+                    "HTTP/1.1 200 OK\r\nX Note: 1\r\nContent-Length: 2\r\n\r\n{}",
+                    ErrorKind::OutcomeUnknown,
+                    ErrorKind::Unavailable },
+        AnswerCase{ "name with control byte",
+                    "HTTP/1.1 200 OK\r\nX-\x01Note: 1\r\nContent-Length: 2\r\n\r\n{}",
+                    ErrorKind::OutcomeUnknown,
+                    ErrorKind::Unavailable },
         AnswerCase{ "too large",
                     jsonAnswer(200, std::string(std::size_t{ 17 } * 1024 * 1024, ' ')),
                     ErrorKind::OutcomeUnknown,
