Refuse a node's answer to the operators' tool that is cut or malformed

Operators saw a part of a node's answer as the whole: pimentohollowctl took an answer whose body ended early, by a close or by a reset, or without its last chunk, and answers with the status 000 or with a malformed header line.

Cause: AdminClient read responses with POCO and didn't compare the body with the announced length; POCO's stream ends at the end of the connection without an error.

Fix: it reads them with readResponse(). A broken answer is an error with an unknown outcome, as no answer is.

--- a/modules/control/adminclient.cpp
+++ b/modules/control/adminclient.cpp
@@ -1,10 +1,11 @@
 #include "control/adminclient.h"
 
+#include "http/reading/responsereader.h"
+
 #include <memory>
 #include <Poco/Net/Context.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPSClientSession.h>
 #include <Poco/Timespan.h>
 #include <Poco/URI.h>
@@ -16,7 +17,6 @@
 {
 
 constexpr long TimeoutSeconds = 2;
-constexpr std::size_t MaximumAnswerBytes = std::size_t{ 1024 } * 1024;
 constexpr const char *Step = "admin.call";
 
 std::unique_ptr<Poco::Net::HTTPClientSession> makeSession(const AdminCall &call, const Poco::URI &uri)
@@ -37,18 +37,17 @@
 
 Result<AdminAnswer> receive(Poco::Net::HTTPClientSession &session, const std::string &peer)
 {
-    Poco::Net::HTTPResponse response;
-    std::istream &stream = session.receiveResponse(response);
-    AdminAnswer answer{ response.getStatus(), "" };
-    char buf[4096];
-    while (stream.good() && answer.body.size() <= MaximumAnswerBytes) {
-        stream.read(buf, sizeof(buf));
-        answer.body.append(buf, static_cast<std::size_t>(stream.gcount()));
-    }
-    if (answer.body.size() > MaximumAnswerBytes) {
-        return failure(ErrorKind::InvalidInput, Step, "the answer is too large", peer);
+    // POCO's reader isn't used: it takes a body that ends early for whole and accepts malformed heads.
+    ByteStream stream(session.socket());
+    auto response = readResponse(stream, false, {}, std::chrono::steady_clock::now() + std::chrono::seconds(TimeoutSeconds));
+    if (!response) {
+        const bool tooLarge = response.error() == ReadError::TooLarge;
+        return failure(tooLarge ? ErrorKind::InvalidInput : ErrorKind::OutcomeUnknown,
+                       Step,
+                       "no valid answer: " + std::string(ReadErrorNames.name(response.error())),
+                       peer);
     }
-    return answer;
+    return AdminAnswer{ response->message.status, std::move(response->message.body) };
 }
 
 } // namespace
