End the reading of an answer at its deadline while bytes keep arriving

Callers would see: an upstream in trouble sends a chunked answer without end, and the answer to the caller comes seconds after the time limit of its route.

Cause: a deadline was looked at only when a read had to wait. While bytes arrive as fast as they are read, no read waits.

Fix: ByteStream looks at the clock after each 256 KiB, for all sources. Bytes that arrived before the deadline can be read after it up to that many.

--- a/modules/async/net/asyncsocket.cpp
+++ b/modules/async/net/asyncsocket.cpp
@@ -117,7 +117,7 @@
             }
             if (count == 0 || (errno != EAGAIN && errno != EINTR)) {
                 if (count == 0) {
-                    // After a reset whose error another call has met, the kernel reports the end of the stream here.
+                    // recv() doesn't report a reset that follows an orderly end, or whose error another call has met.
                     recordPendingFailure();
                 } else {
                     recordFailure(errno);
--- a/modules/async/net/asyncsocket.h
+++ b/modules/async/net/asyncsocket.h
@@ -77,8 +77,8 @@
     std::string failureText() const;
 
     /**
-     * Waits until the other side has acknowledged all bytes written. Returns Failed if the connection fails before: a reset that answers
-     * them may arrive after the orderly end of the other side's direction. Errors: Failed, Timeout.
+     * Waits until the other side has acknowledged all bytes written. Until then, a reset may still follow the orderly end of its direction.
+     * Errors: Failed, Timeout.
      */
     ReadResult<void> waitUntilDelivered(TimePoint deadline);
 
--- a/modules/http/reading/bytestream.cpp
+++ b/modules/http/reading/bytestream.cpp
@@ -16,6 +16,9 @@
 /** Maximum size of a TLS record, so that no decrypted bytes remain in the TLS layer, where poll() doesn't report them. */
 constexpr std::size_t ReadBufferBytes = std::size_t{ 16 } * 1024;
 
+/** Bytes read between two looks at the clock. Bytes that arrived before the deadline can be read after it, up to this many. */
+constexpr std::size_t BytesPerDeadlineCheck = std::size_t{ 256 } * 1024;
+
 /** Checks line ends incrementally and finds the empty line that ends a head. */
 class LineEndScanner
 {
@@ -236,6 +239,14 @@
         return tl::unexpected(count.error());
     }
     m_buffer.append(bytes.data(), *count);
+    m_bytesSinceDeadlineCheck += *count;
+    if (m_bytesSinceDeadlineCheck >= BytesPerDeadlineCheck) {
+        m_bytesSinceDeadlineCheck = 0;
+        // The source never waits, and so never times out, while bytes arrive faster than they are read.
+        if (m_source->now() >= deadline) {
+            return tl::unexpected(ReadError::Timeout);
+        }
+    }
     return {};
 }
 
--- a/modules/http/reading/bytestream.h
+++ b/modules/http/reading/bytestream.h
@@ -60,7 +60,7 @@
     virtual TimePoint now() const = 0;
 };
 
-/** Buffered reader of HTTP messages. Every wait ends at the given deadline. */
+/** Buffered reader of HTTP messages. Every wait ends at the given deadline, also if bytes keep arriving. */
 class ByteStream
 {
 public:
@@ -111,6 +111,7 @@
     std::unique_ptr<BufferBudget::Reservation> m_reservation;
     std::string m_buffer;
     std::size_t m_position = 0;
+    std::size_t m_bytesSinceDeadlineCheck = 0;
 };
 
 } // namespace Pimentohollow
