--- a/modules/control/adminclient.h
+++ b/modules/control/adminclient.h
@@ -31,7 +31,8 @@
 
 /**
  * Makes the call over HTTP with a time limit of a few seconds.
- * Errors: Unavailable (nothing was sent), OutcomeUnknown (no answer to a call that was sent).
+ * Errors: Unavailable (nothing was sent), OutcomeUnknown (no whole answer to a call that was sent), InvalidInput (the
+ * answer is too large).
  */
 Result<AdminAnswer> callAdminOverHttp(const AdminCall &call);
 
--- a/modules/http/reading/responsereader.h
+++ b/modules/http/reading/responsereader.h
@@ -8,7 +8,7 @@
 namespace Pimentohollow
 {
 
-/** What a response may be. */
+/** Sizes of a response that is accepted, and how its body may end. */
 struct ResponseLimits {
     std::size_t maximumHeadBytes = std::size_t{ 64 } * 1024;
     std::size_t maximumBodyBytes = std::size_t{ 1024 } * 1024;
