Let the servers of two tests end before their event loop does

Cause: the whole answer reaches the client before the stand-in's fiber, which waits 1 ms for its reset, has ended. The test stopped the loop, and a suspended fiber isn't unwound, so that its stack and socket are reported. No product code is involved.

Fix: both tests that have such a stand-in wait for its fibers first. CutReplyIsNoAnswer wasn't reported, but has the same order of events.

--- a/modules/async/tests/httpclienttest.cpp
+++ b/modules/async/tests/httpclienttest.cpp
@@ -29,6 +29,14 @@
     Reset,
 };
 
+/** A fiber that is suspended when its loop ends is never unwound, which the leak check of ASan reports. */
+void waitForOtherFibers(EventLoop &loop)
+{
+    while (loop.fibers() > 1) {
+        loop.sleepFor(1ms);
+    }
+}
+
 } // namespace
 
 /** Guards against a part of a list that is read as a short list, and against a reset that reads like the end of an answer. */
@@ -70,6 +78,7 @@
                 }
             }
         }
+        waitForOtherFibers(loop);
         loop.stop();
     });
     loop.run();
--- a/modules/mesh/tests/meshlinktest.cpp
+++ b/modules/mesh/tests/meshlinktest.cpp
@@ -256,6 +256,10 @@
                 break;
             }
         }
+        // A fiber that is suspended when its loop ends is never unwound, which the leak check of ASan reports.
+        while (loop.fibers() > 1) {
+            loop.sleepFor(1ms);
+        }
         loop.stop();
     });
     loop.run();
