--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -39,9 +39,14 @@
     }
 }
 
-void UpstreamLifecycle::recall(const UpstreamDepartures &departures)
+void UpstreamLifecycle::merge(const UpstreamDepartures &departures)
 {
     m_departures.merge(departures);
+}
+
+void UpstreamLifecycle::recall(const UpstreamDepartures &departures)
+{
+    merge(departures);
     m_recalled = true;
 }
 
--- a/modules/mesh/decisions/upstreamlifecycle.h
+++ b/modules/mesh/decisions/upstreamlifecycle.h
@@ -25,7 +25,9 @@
  * A process that has left receives no requests again, whatever it, or a message that it sent before, reports afterwards.
  *
  * What the node acknowledges has to outlive its process. The store's entry of the node keeps it; while the store can't be written, most of
- * the other nodes do, and tell the node after a restart. Until a new process of the node has heard of either, its upstream isn't used.
+ * the other nodes do, and tell the node after a restart. Until a new process of the node has heard from the store, or from a node that
+ * knows all that the store or an earlier process knew, its upstream isn't used: that a node says nothing of departures is no proof that
+ * there were none, because it may have been restarted as well.
  *
  * Not thread-safe; the caller passes the time.
  */
@@ -41,7 +43,9 @@
     void deregister(const Deregistration &message, WallTime receivedAt);
     /** Records that the running process leaves, by its own responses. */
     void recordLeaving();
-    /** Adds departures that an earlier process of this node recorded and that the store, or another node, has kept. */
+    /** Adds departures that an earlier process of this node recorded; there may be others. */
+    void merge(const UpstreamDepartures &departures);
+    /** Adds all departures that earlier processes of this node recorded, as the store or another node has kept them. */
     void recall(const UpstreamDepartures &departures);
 
     /** Records that the store's entry of this node has these departures. */
@@ -67,6 +71,12 @@
      */
     bool isKept(std::size_t peers) const;
 
+    /** True once all that earlier processes of this node recorded is known. */
+    bool isRecalled() const
+    {
+        return m_recalled;
+    }
+
     /** True if a report is known. */
     bool isKnown() const
     {
--- a/modules/mesh/decisions/upstreamnotices.cpp
+++ b/modules/mesh/decisions/upstreamnotices.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace Pimentohollow
 {
@@ -83,16 +84,28 @@
 {
     m_notice.incarnation = notice.incarnation;
     m_notice.milliLimit = notice.milliLimit;
-    m_notice.departures.merge(notice.departures);
+    mergeDepartures(notice);
 }
 
 void RemoteNotice::applyRelayed(const UpstreamNotice &notice)
 {
-    m_notice.departures.merge(notice.departures);
+    mergeDepartures(notice);
     if (notice.milliLimit != 0) {
         m_notice.incarnation = notice.incarnation;
         m_notice.milliLimit = notice.milliLimit;
     }
 }
 
+bool RemoteNotice::applyStored(const UpstreamDepartures &departures)
+{
+    const bool completed = !std::exchange(m_notice.departuresComplete, true);
+    return m_notice.departures.merge(departures) || completed;
+}
+
+void RemoteNotice::mergeDepartures(const UpstreamNotice &notice)
+{
+    m_notice.departures.merge(notice.departures);
+    m_notice.departuresComplete = m_notice.departuresComplete || notice.departuresComplete;
+}
+
 } // namespace Pimentohollow
--- a/modules/mesh/decisions/upstreamnotices.h
+++ b/modules/mesh/decisions/upstreamnotices.h
@@ -57,6 +57,8 @@
     void applyDirect(const UpstreamNotice &notice);
     /** Applies the notice in a digest, which may be older than the last direct one; its limit is used only if it names one. */
     void applyRelayed(const UpstreamNotice &notice);
+    /** Adds the departures in the store's entry of the node. Returns true if the notice says more than before. */
+    bool applyStored(const UpstreamDepartures &departures);
 
     const UpstreamNotice &notice() const
     {
@@ -64,6 +66,8 @@
     }
 
 private:
+    void mergeDepartures(const UpstreamNotice &notice);
+
     UpstreamNotice m_notice;
 };
 
--- a/modules/mesh/links/meshlink.cpp
+++ b/modules/mesh/links/meshlink.cpp
@@ -134,6 +134,13 @@
     }
 }
 
+void MeshLink::keepStoredDepartures(const UpstreamDepartures &departures)
+{
+    if (m_upstreamNotice.applyStored(departures)) {
+        send(UpstreamNoticeFrame{ m_upstreamNotice.notice(), false });
+    }
+}
+
 void MeshLink::storeLoad(const LoadReport &load)
 {
     m_load = load;
--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -104,6 +104,9 @@
         return m_upstreamNotice.notice();
     }
 
+    /** Keeps the departures in the store's entry of the peer. A connected peer that may not know them is told at once. */
+    void keepStoredDepartures(const UpstreamDepartures &departures);
+
     /** True if the peer can reach the store, according to its last status. */
     bool watchesStore() const
     {
--- a/modules/mesh/model/upstreamnotice.h
+++ b/modules/mesh/model/upstreamnotice.h
@@ -25,13 +25,18 @@
     /** Limit in thousandths of a request per second; 0 for none. A limit of zero requests is reported as 1. */
     std::uint32_t milliLimit = 0;
     UpstreamDepartures departures;
+    /**
+     * True if the departures come from a process of the node that knew all earlier ones, or from the store. A sender without such a source
+     * may know some departures, but can't say that there are no others.
+     */
+    bool departuresComplete = false;
 
     bool operator==(const UpstreamNotice &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(incarnation, milliLimit, departures);
+        archive(incarnation, milliLimit, departures, departuresComplete);
     }
 };
 
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -154,7 +154,7 @@
                             updateFleetSize();
                         },
                         [this](const UpstreamDepartures &departures) {
-                            m_upstreamRunner.recallDepartures(departures);
+                            m_upstreamRunner.recallDepartures(departures, "store");
                         },
                         [this](const UpstreamDepartures &departures) {
                             m_upstreamRunner.setWrittenDepartures(departures);
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -325,6 +325,7 @@
         // A node that is stopping may still tell so itself; until the store has its entry, its peers keep what it must be told after a
         // restart.
         if (fromStore) {
+            keepDepartures(entry);
             retire(entry);
         }
         return;
@@ -339,6 +340,9 @@
         if (replaces && !(link.entry() == entry)) {
             found->second->setEntry(entry);
         }
+        if (fromStore) {
+            keepDepartures(entry);
+        }
         return;
     }
     Log.info("peer_added",
@@ -349,10 +353,21 @@
     auto link = std::make_shared<MeshLink>(
         m_environment.loop, m_environment.bufferBudget, entry, m_environment.ownEntry().dataCentre, m_environment.linkHandlers);
     m_links.emplace(key, link);
+    if (fromStore) {
+        keepDepartures(entry);
+    }
     link->start();
     m_environment.onPeersChanged();
 }
 
+void PeerDirectory::keepDepartures(const DirectoryEntry &entry)
+{
+    const auto found = m_links.find(keyOf(entry));
+    if (found != m_links.end()) {
+        found->second->keepStoredDepartures(entry.departures);
+    }
+}
+
 void PeerDirectory::retire(const DirectoryEntry &entry)
 {
     const std::string key = keyOf(entry);
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -102,6 +102,8 @@
     void applyAll(const std::vector<DirectoryEntry> &entries);
     void applyOwn(const DirectoryEntry &entry);
     void remove(const std::string &key);
+    /** Keeps the departures in an entry from the store for its node, which may have lost them in a restart and not reach the store. */
+    void keepDepartures(const DirectoryEntry &entry);
     /** Handles the withdrawn entry of another node. */
     void retire(const DirectoryEntry &entry);
     void removeMissing(TimePoint now);
--- a/modules/mesh/tests/meshlinktest.cpp
+++ b/modules/mesh/tests/meshlinktest.cpp
@@ -182,6 +182,68 @@
     loop.run();
 }
 
+/** Guards against a departure that a node reads from the store and keeps from its peer, which was restarted and can't read the store. */
+TEST(MeshLinkTest, PeerIsToldOfStoredDepartures)
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    BufferBudget bufferBudget(std::size_t{ 1024 } * 1024);
+    std::vector<UpstreamNotice> received;
+    std::shared_ptr<MeshConnection> connection;
+    AsyncListener peer(loop, [&](std::unique_ptr<AsyncSocket> accepted) {
+        connection = std::make_shared<MeshConnection>(
+            std::move(accepted),
+            bufferBudget,
+            MeshConnection::Handlers{ [&](MeshFrame &&frame) {
+                                         if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
+                                             received.push_back(hello->receiverUpstream);
+                                         } else if (const auto *notice = std::get_if<UpstreamNoticeFrame>(&frame)) {
+                                             received.push_back(notice->notice);
+                                         }
+                                     },
+                                      [] {} });
+        connection->start();
+    });
+    ASSERT_TRUE(peer.listen({ "127.0.0.1", 0 }));
+    const DirectoryEntry entry{ NodeName("peer"), Vienna, ServiceName("orders"), { "127.0.0.1", peer.port() }, 1, {} };
+    const MeshLink::Handlers handlers{ [](MeshLink &, MeshFrame &&) {},
+                                       [](MeshLink &) {},
+                                       [] {
+                                           return HelloFrame{};
+                                       } };
+    UpstreamDepartures first;
+    first.add("i-1", 1000);
+    UpstreamDepartures second;
+    second.add("i-2", 2000);
+    const auto link = std::make_shared<MeshLink>(loop, bufferBudget, entry, Vienna, handlers);
+    loop.spawn([&] {
+        const auto awaitNotices = [&](std::size_t count) {
+            const TimePoint deadline = clock.now() + 5s;
+            while (received.size() < count && clock.now() < deadline) {
+                loop.sleepFor(1ms);
+            }
+            return received.size();
+        };
+        link->keepStoredDepartures(first);
+        link->start();
+        EXPECT_EQ(awaitNotices(1), 1U);
+        link->keepStoredDepartures(first);
+        link->keepStoredDepartures(second);
+        EXPECT_EQ(awaitNotices(2), 2U);
+        link->stop();
+        connection->close();
+        while (loop.fibers() > 1) {
+            loop.sleepFor(1ms);
+        }
+        loop.stop();
+    });
+    loop.run();
+    ASSERT_EQ(received.size(), 2U);
+    EXPECT_TRUE(received[0].departuresComplete && received[1].departuresComplete);
+    EXPECT_EQ(received[0].departures, first) << "in the first frame of the connection";
+    EXPECT_TRUE(received[1].departures.includes(second)) << "on the open connection";
+}
+
 /** Guards against a reply of which a part is taken as the whole when the link fails within its frame, and against a call without an end. */
 TEST(MeshLinkTest, CutReplyIsNoAnswer)
 {
--- a/modules/mesh/tests/upstreamlifecycletest.cpp
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -41,7 +41,15 @@
 struct RestartUntold {
 };
 
-using Event = std::variant<Report, Deregister, Leaving, Restart, RestartUntold>;
+/** A node that may have been restarted as well says that it knows of no departure. */
+struct UnawarePeer {
+};
+
+/** A node that knows of no departure, and knows all that the store or an earlier process knew, says so. */
+struct AwarePeer {
+};
+
+using Event = std::variant<Report, Deregister, Leaving, Restart, RestartUntold, UnawarePeer, AwarePeer>;
 
 UpstreamReport toUpstreamReport(const Report &report)
 {
@@ -82,6 +90,16 @@
     {
         lifecycle = {};
     }
+
+    void operator()(const UnawarePeer & /*event*/) const
+    {
+        lifecycle.merge({});
+    }
+
+    void operator()(const AwarePeer & /*event*/) const
+    {
+        lifecycle.recall({});
+    }
 };
 
 struct OrderCase {
@@ -116,6 +134,10 @@
         OrderCase{ "Ready", { Report{ "a", FirstStart, 1 } }, true },
         OrderCase{ "ReadyAfterRestart", { Report{ "a", FirstStart, 1 }, Restart{}, Report{ "a", FirstStart, 2 } }, true },
         OrderCase{ "ReadyBeforeItIsToldOfDepartures", { RestartUntold{}, Report{ "a", FirstStart, 1 } }, false },
+        OrderCase{ "ReadyAfterAnUnawarePeer", { RestartUntold{}, UnawarePeer{}, Report{ "a", FirstStart, 1 } }, false },
+        OrderCase{ "ReadyAfterAnAwarePeer", { RestartUntold{}, AwarePeer{}, Report{ "a", FirstStart, 1 } }, true },
+        OrderCase{
+            "ReadyBeforeAnAwarePeer", { RestartUntold{}, Report{ "a", FirstStart, 1 }, UnawarePeer{}, AwarePeer{}, UnawarePeer{} }, true },
         OrderCase{ "ReadyTwiceBeforeItIsToldOfDepartures",
                    { Report{ "a", FirstStart, 1 }, RestartUntold{}, Report{ "a", FirstStart, 2 }, Report{ "a", FirstStart, 3 } },
                    false },
--- a/modules/mesh/tests/upstreamnoticestest.cpp
+++ b/modules/mesh/tests/upstreamnoticestest.cpp
@@ -104,6 +104,34 @@
     EXPECT_EQ(replaced.requestsPerSecond(), std::nullopt);
 }
 
+/** Guards against a node that has just been started and is taken for one that knows of all departures. */
+TEST(RemoteNoticeTest, IsCompleteOnlyAfterACompleteSource)
+{
+    UpstreamDepartures departures;
+    departures.add("i-1", 1000);
+    RemoteNotice unaware;
+    unaware.applyDirect({ "", 0, departures, false });
+    unaware.applyRelayed({ "", 0, {}, false });
+    EXPECT_FALSE(unaware.notice().departuresComplete) << "the node itself doesn't know yet what it was told before";
+
+    RemoteNotice toldByTheNode = unaware;
+    toldByTheNode.applyDirect({ "", 0, {}, true });
+    toldByTheNode.applyDirect({ "", 0, {}, false });
+    EXPECT_TRUE(toldByTheNode.notice().departuresComplete) << "a restart of the node doesn't take it back";
+    EXPECT_TRUE(toldByTheNode.notice().departures.includes(departures));
+
+    RemoteNotice toldByADigest = unaware;
+    toldByADigest.applyRelayed({ "", 0, {}, true });
+    EXPECT_TRUE(toldByADigest.notice().departuresComplete);
+
+    RemoteNotice toldByTheStore;
+    EXPECT_TRUE(toldByTheStore.applyStored({})) << "that there are none is news too";
+    EXPECT_FALSE(toldByTheStore.applyStored({}));
+    EXPECT_TRUE(toldByTheStore.applyStored(departures));
+    EXPECT_TRUE(toldByTheStore.notice().departuresComplete);
+    EXPECT_TRUE(toldByTheStore.notice().departures.includes(departures));
+}
+
 /** Guards against copies that a restarted node, or an old digest, erases before the node has received them. */
 TEST(RemoteNoticeTest, KeepsWhatARestartedNodeDoesNotKnowYet)
 {
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -161,8 +161,11 @@
     });
 }
 
-void UpstreamRunner::recallDepartures(const UpstreamDepartures &departures)
+void UpstreamRunner::recallDepartures(const UpstreamDepartures &departures, std::string_view source)
 {
+    if (!m_lifecycle.isRecalled()) {
+        Log.info("departures_recalled", { { "departures", departures.text() }, { "source", std::string(source) } });
+    }
     updateLifecycle([&] {
         m_lifecycle.recall(departures);
     });
@@ -213,6 +216,7 @@
     report.runMicroseconds = static_cast<std::uint32_t>(std::max(m_averageRunSeconds, occupancySeconds) * 1e6);
     report.notice = m_notices.notice();
     report.notice.departures = m_lifecycle.departures();
+    report.notice.departuresComplete = m_lifecycle.isRecalled();
     constexpr double QualityScale = 255;
     const double coldStartFactor = m_environment.loop.now() < m_coldStartUntil ? ColdStartQualityFactor : 1;
     report.quality = static_cast<std::uint8_t>(std::lround(m_averageQuality * coldStartFactor * QualityScale));
@@ -475,7 +479,13 @@
 void UpstreamRunner::applyKeptNotice(const NodeName &peer, const UpstreamNotice &notice)
 {
     m_lifecycle.setKept(peer, notice.departures);
-    recallDepartures(notice.departures);
+    if (notice.departuresComplete) {
+        recallDepartures(notice.departures, peer.text());
+    } else {
+        updateLifecycle([&] {
+            m_lifecycle.merge(notice.departures);
+        });
+    }
     const UpstreamNotice previous = m_notices.notice();
     m_notices.applyReport(notice);
     if (m_lifecycle.isKnown()) {
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -65,8 +65,8 @@
     bool announce(const UpstreamReport &announcement);
     /** Records the departure of a process of the upstream, whether or not it has announced itself. */
     void deregister(const Deregistration &message);
-    /** Adds departures that an earlier process of this node recorded and that the store has kept. */
-    void recallDepartures(const UpstreamDepartures &departures);
+    /** Adds all departures that earlier processes of this node recorded. @param source who has kept them, for the log */
+    void recallDepartures(const UpstreamDepartures &departures, std::string_view source);
     /** Applies what another node keeps of the upstream from the time before this node was restarted. */
     void applyKeptNotice(const NodeName &peer, const UpstreamNotice &notice);
     void forgetPeer(const NodeName &peer)
