--- a/modules/parsing/scalars.cpp
+++ b/modules/parsing/scalars.cpp
@@ -41,6 +41,23 @@
     return ec == std::errc() && rest == end && !text.empty();
 }
 
+/** @p count times @p unit; nothing if @p count isn't a number that isn't negative, or the duration is too long. */
+std::optional<Duration> multiply(std::string_view count, Duration unit)
+{
+    std::int64_t whole = 0;
+    if (parseNumber(count, whole)) {
+        return whole >= 0 && whole <= MaximumDuration / unit ? std::optional(whole * unit) : std::nullopt;
+    }
+    double number = 0;
+    if (!parseNumber(count, number)) {
+        return std::nullopt;
+    }
+    const double nanoseconds = number * static_cast<double>(unit.count());
+    // False also for a number that is NaN.
+    const bool inRange = nanoseconds >= 0 && nanoseconds <= static_cast<double>(MaximumDuration.count());
+    return inRange ? std::optional(Duration(std::llround(nanoseconds))) : std::nullopt;
+}
+
 template <typename Number>
 std::string rangeProblem(Number value, const Range &range)
 {
@@ -94,21 +111,16 @@
 
 } // namespace
 
-std::optional<Duration> parseDuration(std::string_view text)
+std::optional<Duration> parseDuration(std::string_view text, DurationUnits units)
 {
-    const std::size_t digits = std::min(text.find_first_not_of("0123456789"), text.size());
-    std::int64_t count = 0;
-    if (!parseNumber(text.substr(0, digits), count)) {
-        return std::nullopt;
-    }
     for (const auto &it : Units) {
-        if (it.name != text.substr(digits)) {
+        const bool allowed = units == DurationUnits::All || it.length == Duration(1s) || it.length == Duration(1ms);
+        if (!allowed || !text.ends_with(it.name)) {
             continue;
         }
-        if (count > MaximumDuration / it.length) {
-            return std::nullopt;
+        if (const auto value = multiply(text.substr(0, text.size() - it.name.size()), it.length)) {
+            return value;
         }
-        return count * it.length;
     }
     return std::nullopt;
 }
@@ -226,7 +238,7 @@
 {
     const auto parsed = parseDuration(text);
     if (!parsed) {
-        return "must be a duration such as 250ms, 3s, 10m or 24h, at most 366 days";
+        return "must be a duration such as 250ms, 1.5s, 10m or 24h, at most 366 days";
     }
     value = *parsed;
     if (rangeProblem(value.count(), range).empty()) {
--- a/modules/parsing/scalars.h
+++ b/modules/parsing/scalars.h
@@ -23,8 +23,17 @@
     return { static_cast<double>(minimum.count()), static_cast<double>(maximum.count()) };
 }
 
-/** Text such as "250ms", "3s", "10m" or "24h"; nothing if malformed or longer than 366 days. */
-std::optional<Duration> parseDuration(std::string_view text);
+/** Units in which a duration may be written. */
+enum class DurationUnits : std::uint8_t {
+    All, ///< d, h, m, s, ms, us, ns
+    SecondsAndMilliseconds, ///< s, ms
+};
+
+/**
+ * A number that isn't negative, and its unit: "250ms", "1.5s", "10m" or "24h". Fractions are rounded to nanoseconds. Nothing if malformed
+ * or longer than 366 days.
+ */
+std::optional<Duration> parseDuration(std::string_view text, DurationUnits units = DurationUnits::All);
 std::string formatDuration(Duration value);
 
 /** UTC time as in RFC 3339 with whole seconds, for example "2026-12-31T23:00:00Z". */
