--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -731,10 +731,10 @@
 {
     const TimePoint deadline = m_shutDownStartedAt + m_environment.settings.shutdownGrace - ShutDownMargin;
     constexpr std::chrono::milliseconds CheckInterval(20);
-    m_loop.sleepUntil(m_shutDownStartedAt + PeerRequestTimeAfterStop);
+    m_loop.sleepUntil(std::min(m_shutDownStartedAt + PeerRequestTimeAfterStop, deadline));
     m_upstreamRunner.close();
     sendStatus(true);
-    m_loop.sleepUntil(m_shutDownStartedAt + MinimumServeTimeAfterStop);
+    m_loop.sleepUntil(std::min(m_shutDownStartedAt + MinimumServeTimeAfterStop, deadline));
     // New callers are refused and go to another node at once; a request that arrives while an idle connection closes was not read.
     m_callerListener.close();
     while (m_loop.now() < deadline) {
