--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -102,7 +102,7 @@
     void applyAll(const std::vector<DirectoryEntry> &entries);
     void applyOwn(const DirectoryEntry &entry);
     void remove(const std::string &key);
-    /** Keeps the departures in an entry from the store for its node, which may have lost them in a restart and not reach the store. */
+    /** Keeps the departures in an entry from the store for its node, which may be restarted while the store turns it away. */
     void keepDepartures(const DirectoryEntry &entry);
     /** Handles the withdrawn entry of another node. */
     void retire(const DirectoryEntry &entry);
