--- a/modules/mesh/links/meshlink.cpp
+++ b/modules/mesh/links/meshlink.cpp
@@ -137,7 +137,7 @@
 void MeshLink::keepStoredDepartures(const UpstreamDepartures &departures)
 {
     if (m_upstreamNotice.applyStored(departures)) {
-        send(UpstreamNoticeFrame{ m_upstreamNotice.notice(), false });
+        send(UpstreamNoticeFrame{ m_upstreamNotice.notice(), false, {} });
     }
 }
 
--- a/modules/mesh/links/meshlink.h
+++ b/modules/mesh/links/meshlink.h
@@ -104,6 +104,12 @@
         return m_upstreamNotice.notice();
     }
 
+    /** What is kept of the peer's upstream. */
+    const UpstreamNotice &keptNotice() const
+    {
+        return m_upstreamNotice.notice();
+    }
+
     /** Keeps the departures in the store's entry of the peer. A connected peer that may not know them is told at once. */
     void keepStoredDepartures(const UpstreamDepartures &departures);
 
--- a/modules/mesh/messages/meshframes.h
+++ b/modules/mesh/messages/meshframes.h
@@ -11,6 +11,7 @@
 
 #include <cereal/types/variant.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -352,17 +353,19 @@
 };
 
 /**
- * Asks a node to keep a notice of the sender's upstream, while the store can't keep it, or answers with what the sender keeps of the
- * receiver's upstream.
+ * Asks a node to keep a notice of the sender's upstream, which the sender can't write to the store, or answers with what the sender keeps
+ * of the receiver's upstream.
  */
 struct UpstreamNoticeFrame {
     UpstreamNotice notice;
     bool wantsAnswer = false;
+    /** The era in which the sender has added the departures to the receiver's entry in the store; nothing if it hasn't. */
+    std::optional<StoreEra> storedIn;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(notice, wantsAnswer);
+        archive(notice, wantsAnswer, storedIn);
     }
 };
 
--- a/modules/mesh/model/fleetstore.h
+++ b/modules/mesh/model/fleetstore.h
@@ -115,6 +115,11 @@
     virtual Result<DirectoryChanges> watchDirectory(const StorePosition &position, const WatchLimits &limits) = 0;
     /** Writes @p entry, replacing the entry of the same peer address. Returns the era in which it was written. */
     virtual Result<StoreEra> publish(const DirectoryEntry &entry) = 0;
+    /**
+     * Adds departures to the entry of a node that can't write it. Returns the era in which the entry has them.
+     * Errors: Conflict if there is no entry, or if it has changed meanwhile.
+     */
+    virtual Result<StoreEra> addDepartures(const IpEndpoint &peerAddress, const UpstreamDepartures &departures) = 0;
     /**
      * Removes the entry of @p entry's peer address if it still has the same incarnation. Returns the era in which it was removed.
      * Errors: Conflict if it hasn't that incarnation.
--- a/modules/mesh/node/eracheckedstore.cpp
+++ b/modules/mesh/node/eracheckedstore.cpp
@@ -67,6 +67,13 @@
     });
 }
 
+Result<StoreEra> EraCheckedStore::addDepartures(const IpEndpoint &peerAddress, const UpstreamDepartures &departures)
+{
+    return write([&] {
+        return m_store.addDepartures(peerAddress, departures);
+    });
+}
+
 Result<StoreEra> EraCheckedStore::withdraw(const DirectoryEntry &entry)
 {
     return write([&] {
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::seconds DepartureKeepTimeout(3);
 /** Time that the store has to keep a departure before the other nodes are asked. An upstream waits a second for an acknowledgement. */
 constexpr std::chrono::milliseconds DepartureWriteTime(400);
+/** Time that nodes that reach the store have to write a departure there for this one, before it is enough that most nodes keep it. */
+constexpr std::chrono::milliseconds DeparturePeerWriteTime(300);
 /** Interval at which the other nodes are asked again, because some may have connected meanwhile. */
 constexpr std::chrono::milliseconds KeepRequestInterval(200);
 constexpr std::chrono::milliseconds KeptCheckInterval(5);
@@ -282,8 +284,9 @@
     TimePoint nextRequestAt{};
     while (!lifecycle.isWritten() && m_loop.clock().now() < deadline) {
         const TimePoint now = m_loop.clock().now();
-        if (now >= m_publishRequestedAt + DepartureWriteTime) {
-            if (isKept()) {
+        const TimePoint askingSince = m_publishRequestedAt + DepartureWriteTime;
+        if (now >= askingSince) {
+            if (isKept() && (now >= askingSince + DeparturePeerWriteTime || !peerReachesStore())) {
                 break;
             }
             if (now >= nextRequestAt) {
@@ -303,7 +306,7 @@
 void MeshNode::askPeersToKeepNotice()
 {
     std::string bytes;
-    appendFrame(bytes, UpstreamNoticeFrame{ m_upstreamRunner.load().notice, true });
+    appendFrame(bytes, UpstreamNoticeFrame{ m_upstreamRunner.load().notice, true, {} });
     for (const auto &[connection, peer] : m_inboundPeers) {
         connection->sendEncoded(bytes);
     }
@@ -494,7 +497,7 @@
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame)) {
         handleHello(connection, *hello);
     } else if (const auto *kept = std::get_if<UpstreamNoticeFrame>(&frame)) {
-        m_upstreamRunner.applyKeptNotice(m_inboundPeers[connection].node, kept->notice);
+        applyKeptNotice(m_inboundPeers[connection].node, *kept);
     } else if (const auto *ping = std::get_if<PingFrame>(&frame)) {
         if (ping->wantsAnswer) {
             connection->send(PingFrame{});
@@ -539,10 +542,50 @@
             link.setEntry(hello->sender);
         }
     } else if (const auto *request = std::get_if<UpstreamNoticeFrame>(&frame)) {
-        link.send(UpstreamNoticeFrame{ link.keepNotice(request->notice), false });
+        link.send(UpstreamNoticeFrame{ link.keepNotice(request->notice), false, {} });
+        storeDeparturesOf(link);
     }
 }
 
+void MeshNode::applyKeptNotice(const NodeName &peer, const UpstreamNoticeFrame &kept)
+{
+    m_upstreamRunner.applyKeptNotice(peer, kept.notice);
+    if (kept.storedIn) {
+        m_store.learnEra(*kept.storedIn, peer.text());
+        if (*kept.storedIn == m_store.era()) {
+            m_upstreamRunner.setWrittenDepartures(kept.notice.departures);
+        }
+    }
+}
+
+void MeshNode::storeDeparturesOf(MeshLink &peer)
+{
+    const IpEndpoint address = peer.entry().peerAddress;
+    if (!watchesStore() || !m_storingDeparturesOf.insert(address.text()).second) {
+        return;
+    }
+    m_loop.spawn([this, address, link = peer.shared_from_this()] {
+        const UpstreamNotice notice = link->keptNotice();
+        const auto era = m_store.addDepartures(address, notice.departures);
+        m_storingDeparturesOf.erase(address.text());
+        Log.info("departures_stored",
+                 { { "peer", link->entry().node.text() },
+                   { "departures", notice.departures.text() },
+                   { "result", era ? "ok" : era.error().describe() } });
+        if (era) {
+            link->send(UpstreamNoticeFrame{ notice, false, *era });
+        }
+    });
+}
+
+bool MeshNode::peerReachesStore() const
+{
+    const auto &links = m_peerDirectory.links();
+    return std::any_of(links.begin(), links.end(), [this](const auto &it) {
+        return it.second->watchesStore() && it.second->isReachable(m_loop.now(), suspectTimeout());
+    });
+}
+
 void MeshNode::handleStatus(MeshLink &link, const StatusFrame &status)
 {
     link.setLoad(status.load);
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -74,8 +74,8 @@
     /** Records that an upstream has deregistered; true of any upstream id, also before the upstream has announced itself. */
     void deregisterUpstream(const Deregistration &message);
     /**
-     * Waits until all departures of upstreams outlive this process: the store has them or, while it can't be written, most of the other
-     * nodes keep them. Returns false if they don't in time; the departure must not be acknowledged then.
+     * Waits until all departures of upstreams outlive this process: the store has them, written by this node or by one that reaches the
+     * store, or most of the other nodes keep them while none can write them. Returns false if they don't in time; the departure must not be acknowledged then.
      */
     bool awaitDeparturesKept();
 
@@ -131,8 +131,14 @@
     void sendStatus(bool toAllDataCentres);
     void handleHello(const InboundConnection &connection, const HelloFrame &hello);
     void sendInitialStatus(const InboundConnection &connection, const DataCentreName &dataCentre);
-    /** Asks all connected nodes to keep what this node must not lose in a restart. */
+    /** Asks all connected nodes to keep what this node must not lose in a restart, and those that watch the store to write it there. */
     void askPeersToKeepNotice();
+    /** Applies the answer, or what a node has learned from the store. */
+    void applyKeptNotice(const NodeName &peer, const UpstreamNoticeFrame &kept);
+    /** Adds the departures that are kept for a peer to its entry in the store, if this node watches the store, and tells the peer. */
+    void storeDeparturesOf(MeshLink &peer);
+    /** True if another node says that it reaches the store. */
+    bool peerReachesStore() const;
     void sendDigest();
     void handleDigest(DigestFrame &&digest);
     void handleUpstreamChange();
@@ -165,6 +171,8 @@
     /** Connections opened by other nodes. */
     std::map<InboundConnection, InboundPeer> m_inboundPeers;
     TimePoint m_startedAt;
+    /** Keys of the peers whose departures are being added to their entries. */
+    std::set<std::string> m_storingDeparturesOf;
     /** Time at which a departure was last to be written to the store. */
     TimePoint m_publishRequestedAt{};
     /** Number of known nodes of the own data centre, excluding this one. */
--- a/modules/mesh/tests/eracheckedstoretest.cpp
+++ b/modules/mesh/tests/eracheckedstoretest.cpp
@@ -50,6 +50,12 @@
         return era;
     }
 
+    Result<StoreEra> addDepartures(const IpEndpoint & /*peerAddress*/, const UpstreamDepartures & /*departures*/) override
+    {
+        ++calls;
+        return era;
+    }
+
     Result<StoreEra> withdraw(const DirectoryEntry & /*entry*/) override
     {
         ++calls;
@@ -64,6 +70,7 @@
     ReadEntry,
     WatchDirectory,
     Publish,
+    AddDepartures,
     Withdraw
 };
 
@@ -87,6 +94,8 @@
         return kindOf(store.watchDirectory(position, {}));
     case Call::Publish:
         return kindOf(store.publish({}));
+    case Call::AddDepartures:
+        return kindOf(store.addDepartures({}, {}));
     case Call::Withdraw:
         return kindOf(store.withdraw({}));
     }
@@ -145,6 +154,7 @@
                       EraCase{ "ReadAfterARestore", Call::ReadDirectory, 4, 0, 5, {}, true, 5 },
                       EraCase{ "LateAnswerToAWrite", Call::Publish, 5, 0, 4, ErrorKind::Unavailable, false, 5 },
                       EraCase{ "WriteAfterARestore", Call::Publish, 4, 0, 5, {}, true, 5 },
+                      EraCase{ "LateAnswerToAnAddition", Call::AddDepartures, 5, 0, 4, ErrorKind::Unavailable, false, 5 },
                       EraCase{ "LateAnswerToARemoval", Call::Withdraw, 5, 0, 4, ErrorKind::Unavailable, false, 5 }),
     [](const auto &it) {
         return std::string(it.param.name);
