--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -75,7 +75,8 @@
     void deregisterUpstream(const Deregistration &message);
     /**
      * Waits until all departures of upstreams outlive this process: the store has them, written by this node or by one that reaches the
-     * store, or most of the other nodes keep them while none can write them. Returns false if they don't in time; the departure must not be acknowledged then.
+     * store, or most of the other nodes keep them while none can write them. Returns false if they don't in time; the departure must not be
+     * acknowledged then.
      */
     bool awaitDeparturesKept();
 
