--- a/review/harness-3/lab.py
+++ b/review/harness-3/lab.py
@@ -297,8 +297,11 @@
             "bounds: [%s]" % ", ".join('"%d=%s"' % it for it in enumerate(BOUNDS)), ""])
 
     def start(self):
-        self.process = subprocess.Popen([PROGRAM, "--platform=" + self.file], cwd=ROOT, stdout=open(self.log, "ab"),
-                                        stderr=subprocess.STDOUT)
+        with self.lab.processes:
+            if self.lab.ended:  # a restart that comes after the end of the case
+                return
+            self.process = subprocess.Popen([PROGRAM, "--platform=" + self.file], cwd=ROOT, stdout=open(self.log, "ab"),
+                                            stderr=subprocess.STDOUT)
         self.lab.record("node started", self.name, self.process.pid)
 
     def signal(self, number):
@@ -324,6 +327,8 @@
         self.store_ip = self.net + ".250"
         self.store = Store((self.store_ip, PORTS["store"]), self.record)
         self.nodes, self.targets = [], []
+        self.processes = threading.Lock()
+        self.ended = False
         self.ids = itertools.count(1)
         self.version = 0
 
@@ -392,6 +397,8 @@
         return request_id, status, headers, text, time.monotonic() - begun
 
     def end(self):
+        with self.processes:
+            self.ended = True
         for it in self.targets:
             it.stop()
         for it in self.nodes:
