Use an upstream after a restart of its node only once it has reported again

Callers: while the store is away an upstream reports that it drains, which its node acknowledges. All nodes are killed before the store is back.

Cause: everything that keeps a departure may fail at once: the store is away, and the processes that keep it in its place are killed. A restarted node then relied on the first report that it got, which may be older than what an earlier process acknowledged. The same holds if the store comes back from a copy that lacks the departure.

Ruled out: that the departure reached no other node (departure_not_written says kept_by_peers=yes), and that the restarted node skipped its recall (departures_recalled names the store, whose entry never had the departure).

Now a process of the node uses its upstream after a further report of the same upstream process, at least half an announce interval after the first, so that reports which were delayed together don't count. An upstream that has left sends none. Once one is confirmed, successors are started later and are used at their first report.

The price is one announce interval without the upstream after each restart of its node.

--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -5,7 +5,12 @@
 namespace Pimentohollow
 {
 
-ReportEffect UpstreamLifecycle::apply(const UpstreamReport &report)
+UpstreamLifecycle::UpstreamLifecycle(Duration confirmationTime)
+    : m_confirmationTime(confirmationTime)
+{
+}
+
+ReportEffect UpstreamLifecycle::apply(const UpstreamReport &report, TimePoint now)
 {
     if (report.draining) {
         m_departures.add(report.id, report.startedAt);
@@ -22,7 +27,13 @@
     }
     m_known = true;
     m_lastReport = report;
-    return sameProcess ? ReportEffect::Updated : ReportEffect::Started;
+    if (!sameProcess) {
+        m_firstReportAt = now;
+        return ReportEffect::Started;
+    }
+    // Reports that were delayed together arrive together.
+    m_confirmed = m_confirmed || (hasRunningProcess() && now - m_firstReportAt >= m_confirmationTime);
+    return ReportEffect::Updated;
 }
 
 void UpstreamLifecycle::deregister(const Deregistration &message, WallTime receivedAt)
--- a/modules/mesh/decisions/upstreamlifecycle.h
+++ b/modules/mesh/decisions/upstreamlifecycle.h
@@ -29,13 +29,20 @@
  * knows all that the store or an earlier process knew, its upstream isn't used: that a node says nothing of departures is no proof that
  * there were none, because it may have been restarted as well.
  *
+ * All of these may fail at once: every process is killed before the store is back, or the store comes back from an older copy. A process
+ * of the node therefore doesn't rely on the first report that it receives, which may have been sent before a departure that an earlier
+ * process acknowledged. It uses its upstream after a further report of the same process, which a process that has left doesn't send.
+ *
  * Not thread-safe; the caller passes the time.
  */
 class UpstreamLifecycle
 {
 public:
+    /** @param confirmationTime least time between the first report of a process and the one that confirms that it still runs */
+    explicit UpstreamLifecycle(Duration confirmationTime);
+
     /** Applies a report. The departure of a draining process is recorded even if the report has no other effect. */
-    ReportEffect apply(const UpstreamReport &report);
+    ReportEffect apply(const UpstreamReport &report, TimePoint now);
     /**
      * Records the departure of the process that deregisters, and of earlier ones under its id. A message without a start time is taken to
      * be from the known process of that id; if none is known, it applies to all that started before @p receivedAt, by the clock of this VM.
@@ -89,10 +96,19 @@
         return m_lastReport;
     }
 
+    /**
+     * True once a process has sent a report later than all that earlier processes of this node acknowledged. Processes of the upstream that
+     * report for the first time after it were started after it, so their first reports are relied on.
+     */
+    bool isConfirmed() const
+    {
+        return m_confirmed;
+    }
+
     /** True if the running process is known and hasn't left, as far as this node has ever acknowledged. */
     bool isUsable() const
     {
-        return m_recalled && hasRunningProcess();
+        return m_recalled && m_confirmed && hasRunningProcess();
     }
 
     /** As isUsable(), but by what this process of the node has heard so far. */
@@ -107,8 +123,12 @@
     }
 
 private:
+    Duration m_confirmationTime;
     bool m_known = false;
     bool m_recalled = false;
+    bool m_confirmed = false;
+    /** Time of the first report of the known process. */
+    TimePoint m_firstReportAt{};
     UpstreamReport m_lastReport;
     UpstreamDepartures m_departures;
     UpstreamDepartures m_written;
--- a/modules/mesh/tests/upstreamlifecycletest.cpp
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -16,6 +16,7 @@
 constexpr std::int64_t FirstStart = 1'000;
 constexpr std::int64_t SecondStart = 2'000;
 const WallTime ReceivedAt{ std::chrono::milliseconds(1'500) };
+constexpr Duration ConfirmationTime = std::chrono::milliseconds(750);
 
 struct Report {
     const char *id;
@@ -63,10 +64,25 @@
 
 struct Player {
     UpstreamLifecycle &lifecycle;
+    /** Moves on with each report, so that every further one can confirm its process. */
+    TimePoint now{};
 
-    void operator()(const Report &report) const
+    void operator()(const Report &report)
     {
-        (void)lifecycle.apply(toUpstreamReport(report));
+        now += ConfirmationTime;
+        (void)lifecycle.apply(toUpstreamReport(report), now);
+    }
+
+    /** The process of which the node has heard last goes on reporting that it is ready. */
+    void sendFurtherReport()
+    {
+        auto report = lifecycle.lastReport();
+        ++report.sequence;
+        report.draining = false;
+        now += ConfirmationTime;
+        if (lifecycle.isKnown()) {
+            (void)lifecycle.apply(report, now);
+        }
     }
 
     void operator()(const Deregister &message) const
@@ -81,14 +97,14 @@
 
     void operator()(const Restart & /*event*/) const
     {
-        UpstreamLifecycle restarted;
+        UpstreamLifecycle restarted(ConfirmationTime);
         restarted.recall(lifecycle.departures());
         lifecycle = restarted;
     }
 
     void operator()(const RestartUntold & /*event*/) const
     {
-        lifecycle = {};
+        lifecycle = UpstreamLifecycle(ConfirmationTime);
     }
 
     void operator()(const UnawarePeer & /*event*/) const
@@ -118,11 +134,13 @@
  */
 TEST_P(UpstreamLifecycleTest, UsesExactlyTheProcessesThatHaveNotLeft)
 {
-    UpstreamLifecycle lifecycle;
+    UpstreamLifecycle lifecycle(ConfirmationTime);
     lifecycle.recall({});
+    Player play{ lifecycle };
     for (const auto &it : GetParam().events) {
-        std::visit(Player{ lifecycle }, it);
+        std::visit(play, it);
     }
+    play.sendFurtherReport();
     EXPECT_EQ(lifecycle.isUsable(), GetParam().usable);
 }
 
@@ -196,9 +214,9 @@
                                                                             { "a", SecondStart },
                                                                             { "b", FirstStart } };
         std::vector<bool> departed(processes.size());
-        UpstreamLifecycle lifecycle;
+        UpstreamLifecycle lifecycle(ConfirmationTime);
         lifecycle.recall({});
-        const Player play{ lifecycle };
+        Player play{ lifecycle };
         const auto messages = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4 * static_cast<int>(processes.size())));
         for (const int it : messages) {
             const auto process = static_cast<std::size_t>(it) / 4;
@@ -207,6 +225,7 @@
             switch (it % 4) {
             case 0:
                 play(Report{ id, startedAt, sequence });
+                play(Report{ id, startedAt, sequence + 1 });
                 break;
             case 1:
                 play(Report{ id, startedAt, sequence, true });
@@ -228,6 +247,60 @@
     }));
 }
 
+/** Reports that a new process of the node receives, and whether it relies on the last one. */
+struct ConfirmationCase {
+    const char *name;
+    struct Received {
+        Report report;
+        /** Time since the report before. */
+        Duration pause = ConfirmationTime;
+    };
+    std::vector<Received> reports;
+    bool confirmed;
+};
+
+class UpstreamConfirmationTest : public ::testing::TestWithParam<ConfirmationCase>
+{
+};
+
+/** Guards against a late report that a restarted node takes for a sign that its upstream still runs, and against one that is never used. */
+TEST_P(UpstreamConfirmationTest, ProcessIsConfirmedByAFurtherReport)
+{
+    UpstreamLifecycle lifecycle(ConfirmationTime);
+    lifecycle.recall({});
+    TimePoint now{};
+    for (const auto &it : GetParam().reports) {
+        now += it.pause;
+        (void)lifecycle.apply(toUpstreamReport(it.report), now);
+    }
+    EXPECT_EQ(lifecycle.isUsable(), GetParam().confirmed);
+}
+
+constexpr Duration TooSoon = ConfirmationTime / 2;
+
+INSTANTIATE_TEST_SUITE_P(
+    Reports,
+    UpstreamConfirmationTest,
+    ::testing::Values(
+        ConfirmationCase{ "First", { { { "a", FirstStart, 7 } } }, false },
+        ConfirmationCase{ "Further", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } } }, true },
+        ConfirmationCase{ "SameAgain", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 7 } } }, false },
+        ConfirmationCase{ "EarlierOne", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 6 } } }, false },
+        ConfirmationCase{ "TwoAtOnce", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, TooSoon } }, false },
+        ConfirmationCase{
+            "TwoAtOnceThenFurther", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, TooSoon }, { { "a", FirstStart, 9 } } }, true },
+        ConfirmationCase{ "Draining", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8, true } } }, false },
+        ConfirmationCase{ "OfAnotherProcess", { { { "a", FirstStart, 7 } }, { { "b", SecondStart, 8 } } }, false },
+        ConfirmationCase{
+            "FurtherOfAnotherProcess",
+            { { { "a", FirstStart, 7 } }, { { "b", SecondStart, 8 } }, { { "a", FirstStart, 8 } }, { { "b", SecondStart, 9 } } },
+            true },
+        ConfirmationCase{
+            "FirstOfASuccessor", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "b", SecondStart, 1 } } }, true }),
+    [](const auto &it) {
+        return std::string(it.param.name);
+    });
+
 /** What is asked of the store and of other nodes, and whether a departure may be acknowledged then. */
 struct KeepingCase {
     const char *name;
@@ -246,11 +319,12 @@
 /** Guards against an acknowledged departure that only the process of its node knows. */
 TEST_P(DepartureKeepingTest, IsKeptByTheStoreOrMostPeers)
 {
-    UpstreamLifecycle lifecycle;
+    UpstreamLifecycle lifecycle(ConfirmationTime);
     lifecycle.recall({});
-    std::visit(Player{ lifecycle }, Event(Report{ "a", FirstStart, 1 }));
+    Player play{ lifecycle };
+    play(Report{ "a", FirstStart, 1 });
     EXPECT_TRUE(lifecycle.isKept(GetParam().peers)) << "there is nothing to keep";
-    std::visit(Player{ lifecycle }, Event(Deregister{ "a" }));
+    play(Deregister{ "a" });
     if (GetParam().written) {
         lifecycle.setWritten(lifecycle.departures());
     }
@@ -287,9 +361,9 @@
 {
     EXPECT_TRUE(rc::check([] {
         constexpr std::int64_t Processes = 4;
-        UpstreamLifecycle lifecycle;
+        UpstreamLifecycle lifecycle(ConfirmationTime);
         lifecycle.recall({});
-        const Player play{ lifecycle };
+        Player play{ lifecycle };
         // Late messages of earlier processes under one id, in any order.
         for (const auto startedAt : *rc::gen::container<std::vector<std::int64_t>>(rc::gen::inRange<std::int64_t>(0, Processes))) {
             if (*rc::gen::arbitrary<bool>()) {
@@ -300,6 +374,7 @@
         }
         play(Report{ "a", Processes, 1 });
         play(Deregister{ "a", *rc::gen::inRange<std::int64_t>(0, Processes) });
+        play.sendFurtherReport();
         RC_ASSERT(lifecycle.isUsable());
         play(Deregister{ "a", Processes });
         RC_ASSERT(!lifecycle.isUsable());
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -57,6 +57,7 @@
 
 UpstreamRunner::UpstreamRunner(Environment environment)
     : m_environment(std::move(environment))
+    , m_lifecycle(m_environment.settings.announceInterval / 2)
 {
 }
 
@@ -126,9 +127,10 @@
         return false;
     }
     ReportEffect effect = ReportEffect::Outdated;
+    const bool wasConfirmed = m_lifecycle.isConfirmed();
     updateLifecycle([&] {
         const UpstreamReport previous = m_lifecycle.lastReport();
-        effect = m_lifecycle.apply(announcement);
+        effect = m_lifecycle.apply(announcement, m_environment.loop.now());
         if (effect != ReportEffect::Started && effect != ReportEffect::Updated) {
             return;
         }
@@ -149,7 +151,11 @@
                  { { "upstream", m_incarnation },
                    { "sequence", std::to_string(announcement.sequence) },
                    { "slots", std::to_string(announcement.slots) },
-                   { "state", announcement.draining ? "draining" : "ready" } });
+                   { "state", announcement.draining ? "draining" : "ready" },
+                   { "confirmed", wasConfirmed ? "yes" : "no" } });
+    }
+    if (m_lifecycle.isConfirmed() && !wasConfirmed) {
+        Log.info("upstream_confirmed", { { "upstream", m_incarnation }, { "sequence", std::to_string(announcement.sequence) } });
     }
     return effect != ReportEffect::Outdated || announcement.draining;
 }
