Acknowledge a departure within the upstream's second, also if nobody can keep it

Callers and operators: a node that restarted while the store was away knows no other node. It answered a draining report, or a deregistration, with 503 after 3 s, again and again until the store was back. The upstream takes its departure for unheard and exits after some seconds.

Cause: the acknowledgement waited for the store or for most other nodes, because a later process had no other way to know of the departure.

Now the wait ends after 0.8 s, as an upstream takes an acknowledgement that comes after a second for lost.

--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -25,9 +25,9 @@
 constexpr std::chrono::milliseconds MinimumServeTimeAfterStop(2600);
 /** Time after a stop request during which other nodes may use the upstream; the node serves its own callers for longer anyway. */
 constexpr std::chrono::milliseconds PeerRequestTimeAfterStop(1900);
-/** Below the 4 s within which the platform expects an acknowledgement. */
-constexpr std::chrono::seconds DepartureKeepTimeout(3);
-/** Time that the store has to keep a departure before the other nodes are asked. An upstream waits a second for an acknowledgement. */
+/** Longest wait before a departure is acknowledged. An upstream takes an acknowledgement that arrives after a second for lost. */
+constexpr std::chrono::milliseconds DepartureAcknowledgementTime(800);
+/** Time that the store has to keep a departure before the other nodes are asked. */
 constexpr std::chrono::milliseconds DepartureWriteTime(400);
 /** Time that nodes that reach the store have to write a departure there for this one, before it is enough that most nodes keep it. */
 constexpr std::chrono::milliseconds DeparturePeerWriteTime(300);
@@ -280,7 +280,7 @@
     const auto isKept = [&] {
         return lifecycle.isKept(m_peerDirectory.links().size());
     };
-    const TimePoint deadline = m_loop.clock().now() + DepartureKeepTimeout;
+    const TimePoint deadline = m_loop.clock().now() + DepartureAcknowledgementTime;
     TimePoint nextRequestAt{};
     while (!lifecycle.isWritten() && m_loop.clock().now() < deadline) {
         const TimePoint now = m_loop.clock().now();
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -74,9 +74,10 @@
     /** Records that an upstream has deregistered; true of any upstream id, also before the upstream has announced itself. */
     void deregisterUpstream(const Deregistration &message);
     /**
-     * Waits until all departures of upstreams outlive this process: the store has them, written by this node or by one that reaches the
-     * store, or most of the other nodes keep them while none can write them. Returns false if they don't in time; the departure must not be
-     * acknowledged then.
+     * Waits until all departures of upstreams are kept outside this process: the store has them, written by this node or by one that
+     * reaches the store, or most of the other nodes keep them while none can write them. Returns false if nobody does in the time that an
+     * upstream waits for an acknowledgement. The departure binds later processes of this node all the same: they use no upstream before it
+     * has reported twice, and one that has left doesn't.
      */
     bool awaitDeparturesKept();
 
