Refuse the reports of another VM's upstream

Callers: a late report of an upstream that has left reaches the node of another VM with the same service, whose own upstream started earlier.

Cause: a report was matched by service only; its address was checked for its form and dropped.

The log says announcement_of_another_vm.

--- a/modules/mesh/model/upstreamreport.h
+++ b/modules/mesh/model/upstreamreport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/ipendpoint.h"
 #include "core/names.h"
 
 #include <cstdint>
@@ -19,6 +20,8 @@
     /** Increases with each announcement since a start. */
     std::uint64_t sequence = 0;
     ServiceName service;
+    /** Address at which it accepts requests. */
+    IpEndpoint address;
     /** Number of requests that it can run concurrently. */
     std::uint32_t slots = 0;
     bool draining = false;
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -123,7 +123,12 @@
 
 bool UpstreamRunner::announce(const UpstreamReport &announcement)
 {
-    if (announcement.service != m_environment.settings.service) {
+    const auto &settings = m_environment.settings;
+    if (announcement.service != settings.service || announcement.address != settings.upstream) {
+        Log.warning("announcement_of_another_vm",
+                    { { "upstream", incarnationOf(announcement) },
+                      { "service", announcement.service.text() },
+                      { "address", announcement.address.text() } });
         return false;
     }
     ReportEffect effect = ReportEffect::Outdated;
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -59,8 +59,8 @@
     void cancel(std::uint64_t ticket);
 
     /**
-     * Applies an announcement of the upstream. Returns false if it is from another service, or from a process that another one has replaced
-     * and that doesn't leave.
+     * Applies an announcement of the upstream. Returns false if it is from an upstream of another VM or service, which has to announce
+     * itself to its own node, or from a process that another one has replaced and that doesn't leave.
      */
     bool announce(const UpstreamReport &announcement);
     /** Records the departure of a process of the upstream, whether or not it has announced itself. */
