Ask a running upstream to report again instead of waiting for its next report

Callers: since the upstream of each restarted node was out of use for an announce interval, 1.5 s, longer.

Cause: the node acknowledged a report that it didn't rely on yet, so that the upstream sent the next one at its usual interval.

A report that follows within a second of the one before, and 100 ms or more after the first, confirms that the process runs; without such a repetition it takes three reports, so that two late ones, which were sent at the announce interval, don't confirm an upstream that has left.

The tests deliver three late reports where the kept departure is what is tested, and one where it is lost.

--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -1,15 +1,11 @@
 #include "mesh/decisions/upstreamlifecycle.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Pimentohollow
 {
 
-UpstreamLifecycle::UpstreamLifecycle(Duration confirmationTime)
-    : m_confirmationTime(confirmationTime)
-{
-}
-
 ReportEffect UpstreamLifecycle::apply(const UpstreamReport &report, TimePoint now)
 {
     if (report.draining) {
@@ -27,12 +23,16 @@
     }
     m_known = true;
     m_lastReport = report;
+    const TimePoint previousReportAt = std::exchange(m_lastReportAt, now);
     if (!sameProcess) {
         m_firstReportAt = now;
+        m_reports = 1;
         return ReportEffect::Started;
     }
-    // Reports that were delayed together arrive together.
-    m_confirmed = m_confirmed || (hasRunningProcess() && now - m_firstReportAt >= m_confirmationTime);
+    ++m_reports;
+    const bool repeatsSoon = now - previousReportAt <= RepetitionTime;
+    const bool goesOn = now - m_firstReportAt >= ConfirmationTime && (repeatsSoon || m_reports >= ConfirmingReports);
+    m_confirmed = m_confirmed || (goesOn && hasRunningProcess());
     return ReportEffect::Updated;
 }
 
--- a/modules/mesh/decisions/upstreamlifecycle.h
+++ b/modules/mesh/decisions/upstreamlifecycle.h
@@ -30,16 +30,23 @@
  * there were none, because it may have been restarted as well.
  *
  * All of these may fail at once: every process is killed before the store is back, or the store comes back from an older copy. A process
- * of the node therefore doesn't rely on the first report that it receives, which may have been sent before a departure that an earlier
- * process acknowledged. It uses its upstream after a further report of the same process, which a process that has left doesn't send.
+ * of the node therefore doesn't rely on the first reports that it receives, which may have been sent before a departure that an earlier
+ * process acknowledged. It uses its upstream once a process has gone on reporting, which one that has left doesn't.
  *
  * Not thread-safe; the caller passes the time.
  */
 class UpstreamLifecycle
 {
 public:
-    /** @param confirmationTime least time between the first report of a process and the one that confirms that it still runs */
-    explicit UpstreamLifecycle(Duration confirmationTime);
+    /** Number of reports after which a process is known to go on reporting. A restarted node seldom receives more than one late report. */
+    static constexpr int ConfirmingReports = 3;
+    /** Least time that the reports take which confirm a process. Reports that were delayed together arrive together. */
+    static constexpr std::chrono::milliseconds ConfirmationTime{ 100 };
+    /**
+     * A second report within this time of the first also confirms its process: a running upstream sends another one soon if it isn't
+     * acknowledged, while late reports were sent at its announce interval, which is longer.
+     */
+    static constexpr std::chrono::seconds RepetitionTime{ 1 };
 
     /** Applies a report. The departure of a draining process is recorded even if the report has no other effect. */
     ReportEffect apply(const UpstreamReport &report, TimePoint now);
@@ -97,14 +104,20 @@
     }
 
     /**
-     * True once a process has sent a report later than all that earlier processes of this node acknowledged. Processes of the upstream that
-     * report for the first time after it were started after it, so their first reports are relied on.
+     * True once a process of the upstream has gone on reporting. Those that report for the first time later were started after this process
+     * of the node, which knows of their departures itself, so their first reports are relied on.
      */
     bool isConfirmed() const
     {
         return m_confirmed;
     }
 
+    /** True if a process reports that isn't confirmed yet and isn't known to have left. */
+    bool needsFurtherReports() const
+    {
+        return !m_confirmed && hasRunningProcess();
+    }
+
     /** True if the running process is known and hasn't left, as far as this node has ever acknowledged. */
     bool isUsable() const
     {
@@ -123,12 +136,13 @@
     }
 
 private:
-    Duration m_confirmationTime;
     bool m_known = false;
     bool m_recalled = false;
     bool m_confirmed = false;
-    /** Time of the first report of the known process. */
+    /** Times of the first and the last report of the known process, and number of its reports. */
     TimePoint m_firstReportAt{};
+    TimePoint m_lastReportAt{};
+    int m_reports = 0;
     UpstreamReport m_lastReport;
     UpstreamDepartures m_departures;
     UpstreamDepartures m_written;
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -71,13 +71,19 @@
         return m_upstreamRunner.announce(announcement);
     }
 
+    /** True if the upstream is used only after further reports. Those before must not be acknowledged, so that it reports again soon. */
+    bool needsFurtherReports() const
+    {
+        return m_upstreamRunner.lifecycle().needsFurtherReports();
+    }
+
     /** Records that an upstream has deregistered; true of any upstream id, also before the upstream has announced itself. */
     void deregisterUpstream(const Deregistration &message);
     /**
      * Waits until all departures of upstreams are kept outside this process: the store has them, written by this node or by one that
      * reaches the store, or most of the other nodes keep them while none can write them. Returns false if nobody does in the time that an
      * upstream waits for an acknowledgement. The departure binds later processes of this node all the same: they use no upstream before it
-     * has reported twice, and one that has left doesn't.
+     * has gone on reporting, and one that has left doesn't.
      */
     bool awaitDeparturesKept();
 
--- a/modules/mesh/tests/upstreamlifecycletest.cpp
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -16,7 +16,9 @@
 constexpr std::int64_t FirstStart = 1'000;
 constexpr std::int64_t SecondStart = 2'000;
 const WallTime ReceivedAt{ std::chrono::milliseconds(1'500) };
-constexpr Duration ConfirmationTime = std::chrono::milliseconds(750);
+constexpr Duration ConfirmationTime = UpstreamLifecycle::ConfirmationTime;
+/** Time between the reports of an upstream whose reports are acknowledged. */
+constexpr Duration AnnounceInterval = std::chrono::milliseconds(1'500);
 
 struct Report {
     const char *id;
@@ -74,13 +76,13 @@
     }
 
     /** The process of which the node has heard last goes on reporting that it is ready. */
-    void sendFurtherReport()
+    void sendFurtherReports()
     {
-        auto report = lifecycle.lastReport();
-        ++report.sequence;
-        report.draining = false;
-        now += ConfirmationTime;
-        if (lifecycle.isKnown()) {
+        for (int n = 1; n < UpstreamLifecycle::ConfirmingReports && lifecycle.isKnown(); ++n) {
+            auto report = lifecycle.lastReport();
+            ++report.sequence;
+            report.draining = false;
+            now += ConfirmationTime;
             (void)lifecycle.apply(report, now);
         }
     }
@@ -97,14 +99,14 @@
 
     void operator()(const Restart & /*event*/) const
     {
-        UpstreamLifecycle restarted(ConfirmationTime);
+        UpstreamLifecycle restarted;
         restarted.recall(lifecycle.departures());
         lifecycle = restarted;
     }
 
     void operator()(const RestartUntold & /*event*/) const
     {
-        lifecycle = UpstreamLifecycle(ConfirmationTime);
+        lifecycle = {};
     }
 
     void operator()(const UnawarePeer & /*event*/) const
@@ -134,13 +136,13 @@
  */
 TEST_P(UpstreamLifecycleTest, UsesExactlyTheProcessesThatHaveNotLeft)
 {
-    UpstreamLifecycle lifecycle(ConfirmationTime);
+    UpstreamLifecycle lifecycle;
     lifecycle.recall({});
     Player play{ lifecycle };
     for (const auto &it : GetParam().events) {
         std::visit(play, it);
     }
-    play.sendFurtherReport();
+    play.sendFurtherReports();
     EXPECT_EQ(lifecycle.isUsable(), GetParam().usable);
 }
 
@@ -214,7 +216,7 @@
                                                                             { "a", SecondStart },
                                                                             { "b", FirstStart } };
         std::vector<bool> departed(processes.size());
-        UpstreamLifecycle lifecycle(ConfirmationTime);
+        UpstreamLifecycle lifecycle;
         lifecycle.recall({});
         Player play{ lifecycle };
         const auto messages = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4 * static_cast<int>(processes.size())));
@@ -226,6 +228,7 @@
             case 0:
                 play(Report{ id, startedAt, sequence });
                 play(Report{ id, startedAt, sequence + 1 });
+                play(Report{ id, startedAt, sequence + 2 });
                 break;
             case 1:
                 play(Report{ id, startedAt, sequence, true });
@@ -253,7 +256,7 @@
     struct Received {
         Report report;
         /** Time since the report before. */
-        Duration pause = ConfirmationTime;
+        Duration pause = AnnounceInterval;
     };
     std::vector<Received> reports;
     bool confirmed;
@@ -263,10 +266,10 @@
 {
 };
 
-/** Guards against a late report that a restarted node takes for a sign that its upstream still runs, and against one that is never used. */
-TEST_P(UpstreamConfirmationTest, ProcessIsConfirmedByAFurtherReport)
+/** Guards against late reports that a restarted node takes for a sign that its upstream still runs, and against one that is never used. */
+TEST_P(UpstreamConfirmationTest, ProcessIsUsedOnceItGoesOnReporting)
 {
-    UpstreamLifecycle lifecycle(ConfirmationTime);
+    UpstreamLifecycle lifecycle;
     lifecycle.recall({});
     TimePoint now{};
     for (const auto &it : GetParam().reports) {
@@ -274,29 +277,49 @@
         (void)lifecycle.apply(toUpstreamReport(it.report), now);
     }
     EXPECT_EQ(lifecycle.isUsable(), GetParam().confirmed);
+    EXPECT_EQ(lifecycle.needsFurtherReports(), !GetParam().confirmed && lifecycle.departures().empty());
 }
 
-constexpr Duration TooSoon = ConfirmationTime / 2;
+constexpr Duration TooSoon = ConfirmationTime / 4;
 
 INSTANTIATE_TEST_SUITE_P(
     Reports,
     UpstreamConfirmationTest,
     ::testing::Values(
         ConfirmationCase{ "First", { { { "a", FirstStart, 7 } } }, false },
-        ConfirmationCase{ "Further", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } } }, true },
-        ConfirmationCase{ "SameAgain", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 7 } } }, false },
-        ConfirmationCase{ "EarlierOne", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 6 } } }, false },
-        ConfirmationCase{ "TwoAtOnce", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, TooSoon } }, false },
+        ConfirmationCase{ "Second", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } } }, false },
+        ConfirmationCase{ "Third", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "a", FirstStart, 9 } } }, true },
+        ConfirmationCase{ "RepeatedSoon", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, ConfirmationTime } }, true },
+        ConfirmationCase{ "RepeatedLate",
+                          { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, UpstreamLifecycle::RepetitionTime + ConfirmationTime } },
+                          false },
+        ConfirmationCase{ "SameAgain", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 7 } }, { { "a", FirstStart, 7 } } }, false },
+        ConfirmationCase{ "EarlierOnes", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 6 } }, { { "a", FirstStart, 5 } } }, false },
+        ConfirmationCase{ "ThreeAtOnce",
+                          { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, TooSoon }, { { "a", FirstStart, 9 }, TooSoon } },
+                          false },
+        ConfirmationCase{ "ThreeAtOnceThenAnother",
+                          { { { "a", FirstStart, 7 } },
+                            { { "a", FirstStart, 8 }, TooSoon },
+                            { { "a", FirstStart, 9 }, TooSoon },
+                            { { "a", FirstStart, 10 }, ConfirmationTime } },
+                          true },
         ConfirmationCase{
-            "TwoAtOnceThenFurther", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, TooSoon }, { { "a", FirstStart, 9 } } }, true },
-        ConfirmationCase{ "Draining", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8, true } } }, false },
-        ConfirmationCase{ "OfAnotherProcess", { { { "a", FirstStart, 7 } }, { { "b", SecondStart, 8 } } }, false },
+            "LastOneDraining", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "a", FirstStart, 9, true } } }, false },
         ConfirmationCase{
-            "FurtherOfAnotherProcess",
-            { { { "a", FirstStart, 7 } }, { { "b", SecondStart, 8 } }, { { "a", FirstStart, 8 } }, { { "b", SecondStart, 9 } } },
-            true },
+            "OfTwoProcesses", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "b", SecondStart, 9 } } }, false },
+        ConfirmationCase{ "OfASuccessorBesideLateOnes",
+                          { { { "a", FirstStart, 7 } },
+                            { { "b", SecondStart, 1 } },
+                            { { "a", FirstStart, 8 } },
+                            { { "b", SecondStart, 2 } },
+                            { { "a", FirstStart, 9 } },
+                            { { "b", SecondStart, 3 } } },
+                          true },
         ConfirmationCase{
-            "FirstOfASuccessor", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "b", SecondStart, 1 } } }, true }),
+            "FirstOfASuccessor",
+            { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "a", FirstStart, 9 } }, { { "b", SecondStart, 1 } } },
+            true }),
     [](const auto &it) {
         return std::string(it.param.name);
     });
@@ -319,7 +342,7 @@
 /** Guards against an acknowledged departure that only the process of its node knows. */
 TEST_P(DepartureKeepingTest, IsKeptByTheStoreOrMostPeers)
 {
-    UpstreamLifecycle lifecycle(ConfirmationTime);
+    UpstreamLifecycle lifecycle;
     lifecycle.recall({});
     Player play{ lifecycle };
     play(Report{ "a", FirstStart, 1 });
@@ -361,7 +384,7 @@
 {
     EXPECT_TRUE(rc::check([] {
         constexpr std::int64_t Processes = 4;
-        UpstreamLifecycle lifecycle(ConfirmationTime);
+        UpstreamLifecycle lifecycle;
         lifecycle.recall({});
         Player play{ lifecycle };
         // Late messages of earlier processes under one id, in any order.
@@ -374,7 +397,7 @@
         }
         play(Report{ "a", Processes, 1 });
         play(Deregister{ "a", *rc::gen::inRange<std::int64_t>(0, Processes) });
-        play.sendFurtherReport();
+        play.sendFurtherReports();
         RC_ASSERT(lifecycle.isUsable());
         play(Deregister{ "a", Processes });
         RC_ASSERT(!lifecycle.isUsable());
--- a/testing/soak/soakrun.cpp
+++ b/testing/soak/soakrun.cpp
@@ -1,5 +1,6 @@
 #include "soakrun.h"
 
+#include "mesh/decisions/upstreamlifecycle.h"
 #include "platform/headers.h"
 
 #include <algorithm>
@@ -245,7 +246,7 @@
             m_loop.sleepFor(CheckPause);
         }
     }
-    m_loop.sleepFor(AnnounceInterval * 2);
+    m_loop.sleepFor(AnnounceInterval * UpstreamLifecycle::ConfirmingReports);
     return true;
 }
 
