Use the upstream of a new node after two reports

Cause: three reports were needed in any case. A node that finds no entry of an earlier process in the store has most likely had none, so that there is nothing to have been acknowledged. Not surely: the earlier one may have found the store away, or the copy of the store may be older than the entry. So one further report is still asked for.

UpstreamConfirmationOfNewNodeTest guards against it.

--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -31,7 +31,7 @@
     }
     ++m_reports;
     const bool repeatsSoon = now - previousReportAt <= RepetitionTime;
-    const bool goesOn = now - m_firstReportAt >= ConfirmationTime && (repeatsSoon || m_reports >= ConfirmingReports);
+    const bool goesOn = now - m_firstReportAt >= ConfirmationTime && (repeatsSoon || m_reports >= m_confirmingReports);
     m_confirmed = m_confirmed || (goesOn && hasRunningProcess());
     return ReportEffect::Updated;
 }
--- a/modules/mesh/decisions/upstreamlifecycle.h
+++ b/modules/mesh/decisions/upstreamlifecycle.h
@@ -40,6 +40,8 @@
 public:
     /** Number of reports after which a process is known to go on reporting. A restarted node seldom receives more than one late report. */
     static constexpr int ConfirmingReports = 3;
+    /** The same for a node that finds no entry of an earlier process in the store. */
+    static constexpr int ConfirmingReportsOfNewNode = 2;
     /** Least time that the reports take which confirm a process. Reports that were delayed together arrive together. */
     static constexpr std::chrono::milliseconds ConfirmationTime{ 100 };
     /**
@@ -62,6 +64,15 @@
     /** Adds all departures that earlier processes of this node recorded, as the store or another node has kept them. */
     void recall(const UpstreamDepartures &departures);
 
+    /**
+     * Records that the store has no entry of an earlier process of this node. There may have been one nevertheless, if it couldn't write
+     * its entry or if the store came back from an older copy.
+     */
+    void expectNoEarlierProcess()
+    {
+        m_confirmingReports = ConfirmingReportsOfNewNode;
+    }
+
     /** Records that the store's entry of this node has these departures. */
     void setWritten(const UpstreamDepartures &departures)
     {
@@ -143,6 +154,8 @@
     TimePoint m_firstReportAt{};
     TimePoint m_lastReportAt{};
     int m_reports = 0;
+    /** Number of its reports by which it is confirmed. */
+    int m_confirmingReports = ConfirmingReports;
     UpstreamReport m_lastReport;
     UpstreamDepartures m_departures;
     UpstreamDepartures m_written;
--- a/modules/mesh/node/meshnode.cpp
+++ b/modules/mesh/node/meshnode.cpp
@@ -158,6 +158,9 @@
                         [this](const UpstreamDepartures &departures) {
                             m_upstreamRunner.recallDepartures(departures, "store");
                         },
+                        [this] {
+                            m_upstreamRunner.expectNoEarlierProcess();
+                        },
                         [this](const UpstreamDepartures &departures) {
                             m_upstreamRunner.setWrittenDepartures(departures);
                         } })
--- a/modules/mesh/node/peerdirectory.cpp
+++ b/modules/mesh/node/peerdirectory.cpp
@@ -225,7 +225,10 @@
 
 void PeerDirectory::applyEarlierEntry(const std::optional<DirectoryEntry> &entry)
 {
-    m_earlierEntryRead = true;
+    const bool isFirstRead = !std::exchange(m_earlierEntryRead, true);
+    if (isFirstRead && !entry) {
+        m_environment.noEarlierEntry();
+    }
     m_environment.departuresRead(entry ? entry->departures : UpstreamDepartures());
 }
 
--- a/modules/mesh/node/peerdirectory.h
+++ b/modules/mesh/node/peerdirectory.h
@@ -35,6 +35,8 @@
         std::function<void()> onPeersChanged;
         /** Called with the departures in the store's entry of this node when it is read, or with none if there is no such entry. */
         std::function<void(const UpstreamDepartures &)> departuresRead;
+        /** Called if there was no such entry when it was read for the first time. */
+        std::function<void()> noEarlierEntry;
         /** Called with the departures that the store is known to have in this node's entry; with none when the entry may be lost. */
         std::function<void(const UpstreamDepartures &)> departuresWritten;
     };
--- a/modules/mesh/tests/upstreamlifecycletest.cpp
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -324,6 +324,18 @@
         return std::string(it.param.name);
     });
 
+/** Guards against an upstream of a new VM that waits as long as one whose node was restarted. */
+TEST(UpstreamConfirmationOfNewNodeTest, SecondReportConfirms)
+{
+    UpstreamLifecycle lifecycle;
+    lifecycle.expectNoEarlierProcess();
+    lifecycle.recall({});
+    (void)lifecycle.apply(toUpstreamReport({ "a", FirstStart, 7 }), TimePoint{});
+    EXPECT_FALSE(lifecycle.isUsable());
+    (void)lifecycle.apply(toUpstreamReport({ "a", FirstStart, 8 }), TimePoint{} + AnnounceInterval);
+    EXPECT_TRUE(lifecycle.isUsable());
+}
+
 /** What is asked of the store and of other nodes, and whether a departure may be acknowledged then. */
 struct KeepingCase {
     const char *name;
--- a/modules/mesh/upstream/upstreamrunner.h
+++ b/modules/mesh/upstream/upstreamrunner.h
@@ -67,6 +67,11 @@
     void deregister(const Deregistration &message);
     /** Adds all departures that earlier processes of this node recorded. @param source who has kept them, for the log */
     void recallDepartures(const UpstreamDepartures &departures, std::string_view source);
+    /** Records that there probably was no earlier process of this node. */
+    void expectNoEarlierProcess()
+    {
+        m_lifecycle.expectNoEarlierProcess();
+    }
     /** Applies what another node keeps of the upstream from the time before this node was restarted. */
     void applyKeptNotice(const NodeName &peer, const UpstreamNotice &notice);
     void forgetPeer(const NodeName &peer)
