--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -31,8 +31,8 @@
     }
     ++m_reports;
     const bool repeatsSoon = now - previousReportAt <= RepetitionTime;
-    const bool goesOn = now - m_firstReportAt >= ConfirmationTime && (repeatsSoon || m_reports >= m_confirmingReports);
-    m_confirmed = m_confirmed || (goesOn && hasRunningProcess());
+    const bool keepsReporting = now - m_firstReportAt >= ConfirmationTime && (repeatsSoon || m_reports >= m_confirmingReports);
+    m_confirmed = m_confirmed || (keepsReporting && hasRunningProcess());
     return ReportEffect::Updated;
 }
 
--- a/modules/mesh/decisions/upstreamlifecycle.h
+++ b/modules/mesh/decisions/upstreamlifecycle.h
@@ -31,22 +31,22 @@
  *
  * All of these may fail at once: every process is killed before the store is back, or the store comes back from an older copy. A process
  * of the node therefore doesn't rely on the first reports that it receives, which may have been sent before a departure that an earlier
- * process acknowledged. It uses its upstream once a process has gone on reporting, which one that has left doesn't.
+ * process acknowledged. It uses its upstream only once a process keeps reporting, which a process that has left doesn't.
  *
  * Not thread-safe; the caller passes the time.
  */
 class UpstreamLifecycle
 {
 public:
-    /** Number of reports after which a process is known to go on reporting. A restarted node seldom receives more than one late report. */
+    /** Number of reports by which a process is known to keep reporting. A restarted node seldom receives more than one late report. */
     static constexpr int ConfirmingReports = 3;
     /** The same for a node that finds no entry of an earlier process in the store. */
     static constexpr int ConfirmingReportsOfNewNode = 2;
     /** Least time that the reports take which confirm a process. Reports that were delayed together arrive together. */
     static constexpr std::chrono::milliseconds ConfirmationTime{ 100 };
     /**
-     * A second report within this time of the first also confirms its process: a running upstream sends another one soon if it isn't
-     * acknowledged, while late reports were sent at its announce interval, which is longer.
+     * A report within this time of the one before also confirms its process: a running upstream soon repeats a report that isn't
+     * acknowledged, while late ones were sent at its announce interval, which is longer.
      */
     static constexpr std::chrono::seconds RepetitionTime{ 1 };
 
@@ -115,8 +115,8 @@
     }
 
     /**
-     * True once a process of the upstream has gone on reporting. Those that report for the first time later were started after this process
-     * of the node, which knows of their departures itself, so their first reports are relied on.
+     * True once a process of the upstream is known to keep reporting. Those that report for the first time later were started after this
+     * process of the node, which knows of their departures itself, so their first reports are relied on.
      */
     bool isConfirmed() const
     {
@@ -154,7 +154,7 @@
     TimePoint m_firstReportAt{};
     TimePoint m_lastReportAt{};
     int m_reports = 0;
-    /** Number of its reports by which it is confirmed. */
+    /** Number of reports that confirm a process. */
     int m_confirmingReports = ConfirmingReports;
     UpstreamReport m_lastReport;
     UpstreamDepartures m_departures;
--- a/modules/mesh/node/meshnode.h
+++ b/modules/mesh/node/meshnode.h
@@ -82,8 +82,8 @@
     /**
      * Waits until all departures of upstreams are kept outside this process: the store has them, written by this node or by one that
      * reaches the store, or most of the other nodes keep them while none can write them. Returns false if nobody does in the time that an
-     * upstream waits for an acknowledgement. The departure binds later processes of this node all the same: they use no upstream before it
-     * has gone on reporting, and one that has left doesn't.
+     * upstream waits for an acknowledgement. The departure binds later processes of this node all the same: they use an
+     * upstream only once it keeps reporting, which one that has left doesn't.
      */
     bool awaitDeparturesKept();
 
--- a/modules/mesh/tests/upstreamlifecycletest.cpp
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -75,7 +75,7 @@
         (void)lifecycle.apply(toUpstreamReport(report), now);
     }
 
-    /** The process of which the node has heard last goes on reporting that it is ready. */
+    /** The process of which the node has heard last keeps reporting that it is ready. */
     void sendFurtherReports()
     {
         for (int n = 1; n < UpstreamLifecycle::ConfirmingReports && lifecycle.isKnown(); ++n) {
@@ -267,7 +267,7 @@
 };
 
 /** Guards against late reports that a restarted node takes for a sign that its upstream still runs, and against one that is never used. */
-TEST_P(UpstreamConfirmationTest, ProcessIsUsedOnceItGoesOnReporting)
+TEST_P(UpstreamConfirmationTest, ProcessIsUsedOnceItKeepsReporting)
 {
     UpstreamLifecycle lifecycle;
     lifecycle.recall({});
