--- a/modules/mesh/decisions/upstreamlifecycle.cpp
+++ b/modules/mesh/decisions/upstreamlifecycle.cpp
@@ -30,7 +30,7 @@
         return ReportEffect::Started;
     }
     ++m_reports;
-    const bool repeatsSoon = now - previousReportAt <= RepetitionTime;
+    const bool repeatsSoon = now - previousReportAt <= m_repetitionTime;
     const bool keepsReporting = now - m_firstReportAt >= ConfirmationTime && (repeatsSoon || m_reports >= m_confirmingReports);
     m_confirmed = m_confirmed || (keepsReporting && hasRunningProcess());
     return ReportEffect::Updated;
--- a/modules/mesh/decisions/upstreamlifecycle.h
+++ b/modules/mesh/decisions/upstreamlifecycle.h
@@ -44,11 +44,12 @@
     static constexpr int ConfirmingReportsOfNewNode = 2;
     /** Least time that the reports take which confirm a process. Reports that were delayed together arrive together. */
     static constexpr std::chrono::milliseconds ConfirmationTime{ 100 };
-    /**
-     * A report within this time of the one before also confirms its process: a running upstream soon repeats a report that isn't
-     * acknowledged, while late ones were sent at its announce interval, which is longer.
-     */
-    static constexpr std::chrono::seconds RepetitionTime{ 1 };
+
+    /** @param announceInterval time between the reports of an upstream if they are acknowledged */
+    explicit UpstreamLifecycle(Duration announceInterval)
+        : m_repetitionTime(announceInterval * 2 / 3)
+    {
+    }
 
     /** Applies a report. The departure of a draining process is recorded even if the report has no other effect. */
     ReportEffect apply(const UpstreamReport &report, TimePoint now);
@@ -147,6 +148,11 @@
     }
 
 private:
+    /**
+     * A report within this time of the one before also confirms its process: a running upstream soon repeats a report that isn't
+     * acknowledged, while late ones were sent at its announce interval. A third of that is left for differences in their delays.
+     */
+    Duration m_repetitionTime;
     bool m_known = false;
     bool m_recalled = false;
     bool m_confirmed = false;
--- a/modules/mesh/tests/upstreamlifecycletest.cpp
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -99,14 +99,14 @@
 
     void operator()(const Restart & /*event*/) const
     {
-        UpstreamLifecycle restarted;
+        UpstreamLifecycle restarted(AnnounceInterval);
         restarted.recall(lifecycle.departures());
         lifecycle = restarted;
     }
 
     void operator()(const RestartUntold & /*event*/) const
     {
-        lifecycle = {};
+        lifecycle = UpstreamLifecycle(AnnounceInterval);
     }
 
     void operator()(const UnawarePeer & /*event*/) const
@@ -136,7 +136,7 @@
  */
 TEST_P(UpstreamLifecycleTest, UsesExactlyTheProcessesThatHaveNotLeft)
 {
-    UpstreamLifecycle lifecycle;
+    UpstreamLifecycle lifecycle(AnnounceInterval);
     lifecycle.recall({});
     Player play{ lifecycle };
     for (const auto &it : GetParam().events) {
@@ -216,7 +216,7 @@
                                                                             { "a", SecondStart },
                                                                             { "b", FirstStart } };
         std::vector<bool> departed(processes.size());
-        UpstreamLifecycle lifecycle;
+        UpstreamLifecycle lifecycle(AnnounceInterval);
         lifecycle.recall({});
         Player play{ lifecycle };
         const auto messages = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4 * static_cast<int>(processes.size())));
@@ -269,7 +269,7 @@
 /** Guards against late reports that a restarted node takes for a sign that its upstream still runs, and against one that is never used. */
 TEST_P(UpstreamConfirmationTest, ProcessIsUsedOnceItKeepsReporting)
 {
-    UpstreamLifecycle lifecycle;
+    UpstreamLifecycle lifecycle(AnnounceInterval);
     lifecycle.recall({});
     TimePoint now{};
     for (const auto &it : GetParam().reports) {
@@ -290,9 +290,7 @@
         ConfirmationCase{ "Second", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } } }, false },
         ConfirmationCase{ "Third", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "a", FirstStart, 9 } } }, true },
         ConfirmationCase{ "RepeatedSoon", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, ConfirmationTime } }, true },
-        ConfirmationCase{ "RepeatedLate",
-                          { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, UpstreamLifecycle::RepetitionTime + ConfirmationTime } },
-                          false },
+        ConfirmationCase{ "RepeatedLate", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 }, AnnounceInterval * 4 / 5 } }, false },
         ConfirmationCase{ "SameAgain", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 7 } }, { { "a", FirstStart, 7 } } }, false },
         ConfirmationCase{ "EarlierOnes", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 6 } }, { { "a", FirstStart, 5 } } }, false },
         ConfirmationCase{ "ThreeAtOnce",
@@ -327,7 +325,7 @@
 /** Guards against an upstream of a new VM that waits as long as one whose node was restarted. */
 TEST(UpstreamConfirmationOfNewNodeTest, SecondReportConfirms)
 {
-    UpstreamLifecycle lifecycle;
+    UpstreamLifecycle lifecycle(AnnounceInterval);
     lifecycle.expectNoEarlierProcess();
     lifecycle.recall({});
     (void)lifecycle.apply(toUpstreamReport({ "a", FirstStart, 7 }), TimePoint{});
@@ -354,7 +352,7 @@
 /** Guards against an acknowledged departure that only the process of its node knows. */
 TEST_P(DepartureKeepingTest, IsKeptByTheStoreOrMostPeers)
 {
-    UpstreamLifecycle lifecycle;
+    UpstreamLifecycle lifecycle(AnnounceInterval);
     lifecycle.recall({});
     Player play{ lifecycle };
     play(Report{ "a", FirstStart, 1 });
@@ -396,7 +394,7 @@
 {
     EXPECT_TRUE(rc::check([] {
         constexpr std::int64_t Processes = 4;
-        UpstreamLifecycle lifecycle;
+        UpstreamLifecycle lifecycle(AnnounceInterval);
         lifecycle.recall({});
         Player play{ lifecycle };
         // Late messages of earlier processes under one id, in any order.
--- a/modules/mesh/upstream/upstreamrunner.cpp
+++ b/modules/mesh/upstream/upstreamrunner.cpp
@@ -57,6 +57,7 @@
 
 UpstreamRunner::UpstreamRunner(Environment environment)
     : m_environment(std::move(environment))
+    , m_lifecycle(m_environment.settings.announceInterval)
 {
 }
 
