--- a/modules/mesh/tests/upstreamlifecycletest.cpp
+++ b/modules/mesh/tests/upstreamlifecycletest.cpp
@@ -277,7 +277,7 @@
         (void)lifecycle.apply(toUpstreamReport(it.report), now);
     }
     EXPECT_EQ(lifecycle.isUsable(), GetParam().confirmed);
-    EXPECT_EQ(lifecycle.needsFurtherReports(), !GetParam().confirmed && lifecycle.departures().empty());
+    EXPECT_EQ(lifecycle.needsFurtherReports(), !GetParam().confirmed && lifecycle.hasRunningProcess());
 }
 
 constexpr Duration TooSoon = ConfirmationTime / 4;
@@ -304,6 +304,10 @@
                           true },
         ConfirmationCase{
             "LastOneDraining", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "a", FirstStart, 9, true } } }, false },
+        ConfirmationCase{
+            "FirstOfASuccessorOfOneThatLeft",
+            { { { "a", FirstStart, 7, true } }, { { "a", FirstStart, 8 } }, { { "a", FirstStart, 9 } }, { { "b", SecondStart, 1 } } },
+            false },
         ConfirmationCase{
             "OfTwoProcesses", { { { "a", FirstStart, 7 } }, { { "a", FirstStart, 8 } }, { { "b", SecondStart, 9 } } }, false },
         ConfirmationCase{ "OfASuccessorBesideLateOnes",
