Reserve the ports of nodes under test, for UDP as well

Cause: PlatformFleet chose ports with TCP sockets that it closed again, but the gossip listener uses UDP. A UDP socket of a test that ran at the same time could have the number. Ruled out: a fault of the node, which reports what bind() says. A TCP listener of another test would have shown no error, because Poco also sets SO_REUSEPORT.

ReservedPort, which the tests of the mesh and the soak use, now takes ports below the range that Linux chooses from itself, checks that they are free for UDP, and PlatformFleet uses it. A socket without SO_REUSEADDR at bind() keeps two test processes from reserving one port; before, the kernel saw to that.

--- a/testing/process/support/platformfleet.cpp
+++ b/testing/process/support/platformfleet.cpp
@@ -7,7 +7,6 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/TemporaryFile.h>
 #include <stdexcept>
 
@@ -20,18 +19,6 @@
 constexpr const char *Pepper = "test pepper 0123456789";
 constexpr const char *KeyName = "k1";
 
-/** Ports that are free now; the settings of a node name fixed ports. */
-std::vector<int> freePorts(std::size_t count)
-{
-    std::vector<Poco::Net::ServerSocket> sockets; // all open at the same time, so that the ports differ
-    std::vector<int> ports;
-    for (std::size_t n = 0; n < count; ++n) {
-        sockets.emplace_back(Poco::Net::SocketAddress("127.0.0.1", 0));
-        ports.push_back(sockets.back().address().port());
-    }
-    return ports;
-}
-
 PlatformEndpoint endpoint(const PlatformStandin &platform)
 {
     PlatformEndpoint result;
@@ -131,13 +118,11 @@
     std::ofstream(m_folder + "/" + name) << content;
 }
 
-std::string PlatformFleet::settings(const std::string &name) const
+std::string PlatformFleet::settings(const std::string &name)
 {
     std::string text = fmt::format("node: {}\ndata_centre: dc1\nlisteners:\n", name);
-    const std::vector<std::string> listeners{ "callers", "admin", "peers", "gossip", "chain", "announce" };
-    const auto ports = freePorts(listeners.size());
-    for (std::size_t n = 0; n < listeners.size(); ++n) {
-        text += fmt::format("  {}: 127.0.0.1:{}\n", listeners[n], ports[n]);
+    for (const char *it : { "callers", "admin", "peers", "gossip", "chain", "announce" }) {
+        text += fmt::format("  {}: {}\n", it, m_ports.emplace_back().endpoint().text());
     }
     text += "secrets:\n";
     for (const auto &[field, file] :
--- a/testing/process/support/platformfleet.h
+++ b/testing/process/support/platformfleet.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "configuration/configuration.h"
+#include "standins/mesh/reservedport.h"
 #include "standins/platform/platformstandin.h"
 #include "support/testfleet.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,11 +36,13 @@
 
 private:
     void writeFile(const std::string &name, const std::string &content) const;
-    std::string settings(const std::string &name) const;
+    std::string settings(const std::string &name);
 
     std::string m_folder;
     std::string m_key;
     PlatformStandin m_platform;
+    /** The settings of a node name fixed ports. */
+    std::deque<ReservedPort> m_ports;
     std::optional<int> m_seedPort;
 };
 
--- a/testing/standins/mesh/reservedport.h
+++ b/testing/standins/mesh/reservedport.h
@@ -6,8 +6,9 @@
 {
 
 /**
- * A free TCP port of the loopback interface that the kernel gives to nobody else while this object lives. The program under test may listen
- * on it, because both sockets allow that the address is reused.
+ * A port of the loopback interface that is free for TCP and UDP and isn't given to another process while this object lives. The program
+ * under test may listen on it: for TCP, because both sockets allow that the address is reused; for UDP, because only other objects of this
+ * class take ports of this range, and they respect the TCP socket.
  */
 class ReservedPort
 {
